--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,12 @@
+// Command standin runs one of the stand-ins: platform, engine, plain service or rater.
+package main
+
+import (
+	"os"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Standin(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/caller_test.go
@@ -0,0 +1,164 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// callSpec is one request of a script:
+// call METHOD PATH [-as KEY] [-via ENTRY] [-head 'Name: value'] [-body TEXT] [-times N] [-bg NAME].
+type callSpec struct {
+	method, path, key, via, body, bg string
+	heads                            []string
+	times                            int
+}
+
+func parseCall(ts *testscript.TestScript, args []string) callSpec {
+	if len(args) < 2 {
+		ts.Fatalf("usage: call METHOD PATH [flags]")
+	}
+	c := callSpec{method: args[0], path: args[1], key: "example-key-duluth-floor", via: "n1", times: 1}
+	for rest := args[2:]; len(rest) >= 2; rest = rest[2:] {
+		switch rest[0] {
+		case "-as":
+			c.key = rest[1]
+		case "-via":
+			c.via = rest[1]
+		case "-head":
+			c.heads = append(c.heads, rest[1])
+		case "-body":
+			c.body = rest[1]
+		case "-bg":
+			c.bg = rest[1]
+		case "-times":
+			if _, err := fmt.Sscan(rest[1], &c.times); err != nil {
+				ts.Fatalf("bad -times %s", rest[1])
+			}
+		default:
+			ts.Fatalf("unknown flag %s", rest[0])
+		}
+	}
+	return c
+}
+
+// call sends a request, prints the masked answer and adds it to session.txt. It fails
+// unless the status is below 400, or with ! at or over it.
+func (f *testFleet) call(ts *testscript.TestScript, neg bool, args []string) {
+	c := parseCall(ts, args)
+	if c.bg != "" {
+		ch := make(chan string, 1)
+		f.results[c.bg] = ch
+		go func() { text, _ := f.send(ts, c); ch <- text }()
+		return
+	}
+	for range c.times {
+		text, status := f.send(ts, c)
+		f.show(ts, text)
+		if failed := status >= http.StatusBadRequest || status == 0; failed != neg {
+			f.dumpLogs(ts)
+			ts.Fatalf("%s %s: status %d:\n%s", c.method, c.path, status, text)
+		}
+	}
+}
+
+// result waits for a background call and prints its answer.
+func (f *testFleet) result(ts *testscript.TestScript, name string) {
+	f.show(ts, <-f.results[name])
+}
+
+func (f *testFleet) show(ts *testscript.TestScript, text string) {
+	fmt.Fprint(ts.Stdout(), text)
+	log, err := os.OpenFile(filepath.Join(ts.Getenv("WORK"), "session.txt"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	defer log.Close()
+	_, err = io.WriteString(log, text)
+	ts.Check(err)
+}
+
+// send returns the answer as text and its status, 0 if there is none or it broke off.
+func (f *testFleet) send(ts *testscript.TestScript, c callSpec) (string, int) {
+	body := c.body
+	if name, ok := strings.CutPrefix(body, "@"); ok {
+		body = ts.ReadFile(name)
+	}
+	r, err := http.NewRequest(c.method, "http://"+f.procs[c.via].addr+c.path, strings.NewReader(body))
+	if err != nil {
+		return err.Error(), 0
+	}
+	if c.key != "none" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	for _, h := range c.heads {
+		k, v, _ := strings.Cut(h, ": ")
+		r.Header.Set(k, f.unmask(v))
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return fmt.Sprintf("> %s %s\n< no answer\n\n", c.method, c.path), 0
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return f.mask(c, resp, string(b), err), resp.StatusCode
+}
+
+var variable = regexp.MustCompile(`s1\.[\w.-]+|\b01[0-9A-HJKMNP-TV-Z]{24}\b`)
+
+// mask replaces what differs from run to run by stable names, such as request-1.
+func (f *testFleet) mask(c callSpec, resp *http.Response, body string, err error) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "> %s %s\n", c.method, c.path)
+	for _, h := range c.heads {
+		fmt.Fprintf(&b, "> %s\n", h)
+	}
+	if c.body != "" && len(c.body) < 500 {
+		fmt.Fprintf(&b, "> %s\n", c.body)
+	}
+	fmt.Fprintf(&b, "< %s\n", resp.Status)
+	var heads []string
+	for k, v := range resp.Header {
+		if strings.HasPrefix(k, "Bramleyhinge-") || k == "Retry-After" {
+			heads = append(heads, fmt.Sprintf("< %s: %s\n", k, v[0]))
+		}
+	}
+	slices.Sort(heads)
+	b.WriteString(strings.Join(heads, ""))
+	b.WriteString(strings.TrimRight(body, "\n") + "\n")
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		b.WriteString("< broken off\n")
+	}
+	b.WriteString("\n")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return variable.ReplaceAllStringFunc(b.String(), func(s string) string {
+		if f.masks[s] == "" {
+			kind := "request"
+			if strings.HasPrefix(s, "s1.") {
+				kind = "token"
+			}
+			f.masked[kind]++
+			f.masks[s] = fmt.Sprintf("%s-%d", kind, f.masked[kind])
+		}
+		return f.masks[s]
+	})
+}
+
+// unmask turns a stable name back into the real value.
+func (f *testFleet) unmask(s string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for real, name := range f.masks {
+		if name == s {
+			return real
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/cli/fleet_test.go
@@ -0,0 +1,338 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// patience bounds every wait of a script; it is no target.
+const patience = 60 * time.Second
+
+const testSecret = "a-secret-for-scripts"
+
+// testFleet is the set of processes that one script drives.
+type testFleet struct {
+	procs   map[string]*proc
+	masks   map[string]string
+	masked  map[string]int
+	results map[string]chan string
+	mu      sync.Mutex
+}
+
+// proc is one process of the script.
+type proc struct {
+	name    string
+	kind    string
+	args    []string
+	addr    string
+	control string
+	row     model.Instance
+	cmd     *exec.Cmd
+	done    chan struct{}
+}
+
+type fleetKey struct{}
+
+func setupFleet(env *testscript.Env) error {
+	f := &testFleet{procs: map[string]*proc{}, masks: map[string]string{}, masked: map[string]int{}, results: map[string]chan string{}}
+	env.Values[fleetKey{}] = f
+	env.Setenv(secretVariable, testSecret)
+	env.Defer(func() {
+		for _, p := range f.procs {
+			p.signal(syscall.SIGKILL)
+		}
+	})
+	return nil
+}
+
+func fleetOf(ts *testscript.TestScript) *testFleet { return ts.Value(fleetKey{}).(*testFleet) }
+
+func freeAddress(ts *testscript.TestScript) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startAll reads one process a line: KIND NAME [OPTION=VALUE ...], and starts all in order.
+func (f *testFleet) startAll(ts *testscript.TestScript, file string) {
+	var names []string
+	for line := range strings.Lines(ts.ReadFile(file)) {
+		fields := strings.Fields(line)
+		if len(fields) < 2 {
+			continue
+		}
+		opts := map[string]string{}
+		for _, o := range fields[2:] {
+			k, v, _ := strings.Cut(o, "=")
+			opts[k] = v
+		}
+		f.define(ts, fields[0], fields[1], opts)
+		names = append(names, fields[1])
+	}
+	for _, n := range names {
+		f.start(ts, n)
+	}
+	for _, n := range names {
+		f.ready(ts, n)
+	}
+}
+
+func (f *testFleet) define(ts *testscript.TestScript, kind, name string, opts map[string]string) {
+	p := &proc{name: name, kind: kind, addr: freeAddress(ts)}
+	f.procs[name] = p
+	switch kind {
+	case "platform":
+		ts.Setenv("BRAMLEYHINGE_PLATFORM", "http://"+p.addr)
+		p.args = []string{"standin", "--listen", p.addr, "platform"}
+	case "engine":
+		p.args = []string{"standin", "--listen", p.addr, "engine", "--token", or(opts["token"], "0s")}
+		for v := range strings.SplitSeq(opts["versions"], ",") {
+			p.args = append(p.args, "--version", v)
+		}
+		if opts["fencing"] == "true" {
+			p.args = append(p.args, "--fencing")
+		}
+	case "plain", "rater":
+		p.args = []string{"standin", "--listen", p.addr, kind}
+	default:
+		f.defineMember(ts, p, opts)
+	}
+}
+
+func (f *testFleet) defineMember(ts *testscript.TestScript, p *proc, opts map[string]string) {
+	p.control = freeAddress(ts)
+	place := model.Place{Region: model.RegionID(or(opts["region"], "duluth")), Domain: model.DomainID(or(opts["domain"], "duluth-a"))}
+	p.row = model.Instance{Instance: model.InstanceID(p.name), Role: model.Role(p.kind), Control: p.control, Place: place}
+	var b strings.Builder
+	fmt.Fprintf(&b, "role: %s\ninstance: %s\nplace: {region: %s, domain: %s}\n", p.kind, p.name, place.Region, place.Domain)
+	fmt.Fprintf(&b, "platform: %s\nsecret: env:%s\n", ts.Getenv("BRAMLEYHINGE_PLATFORM"), secretVariable)
+	fmt.Fprintf(&b, "drain: {lag: 300ms, grace: 30s}\nlog: {level: debug}\n")
+	if body := opts["body"]; body != "" {
+		fmt.Fprintf(&b, "limits: {body: %s}\n", body)
+	}
+	if peers := opts["peers"]; peers != "" {
+		fmt.Fprintf(&b, "peers: [%s]\n", f.procs[peers].control)
+	}
+	if p.kind == "entry" {
+		fmt.Fprintf(&b, "listen: {callers: '%s', control: '%s'}\n", p.addr, p.control)
+		if r := f.procs["rater"]; r != nil {
+			fmt.Fprintf(&b, "rater: http://%s\n", r.addr)
+		}
+	} else {
+		backend := f.procs[opts["backend"]]
+		kind := model.KindPlain
+		if backend.kind == "engine" {
+			kind = model.KindModel
+		}
+		p.row.Work, p.row.Service = p.addr, model.ServiceID(opts["service"])
+		fmt.Fprintf(&b, "listen: {work: '%s', control: '%s'}\nservice: %s\n", p.addr, p.control, opts["service"])
+		fmt.Fprintf(&b, "backend: {url: 'http://%s', kind: %s, concurrency: %s}\n", backend.addr, kind, or(opts["concurrency"], "16"))
+	}
+	file := filepath.Join(ts.Getenv("WORK"), p.name+".settings.yaml")
+	ts.Check(os.WriteFile(file, []byte(b.String()), 0o600))
+	p.args = []string{"bramleyhinge", p.kind, "--settings", file}
+}
+
+func or(s, def string) string {
+	if s == "" {
+		return def
+	}
+	return s
+}
+
+// start runs a defined process, again after a stop or kill.
+func (f *testFleet) start(ts *testscript.TestScript, name string) {
+	p := f.procs[name]
+	if p == nil {
+		ts.Fatalf("no process %s", name)
+	}
+	if p.row.Instance != "" {
+		f.putRow(ts, p.row)
+	}
+	path, err := exec.LookPath(filepath.Join(ts.Getenv("WORK"), ".bin", p.args[0]))
+	if err != nil {
+		path, err = lookPath(ts, p.args[0])
+	}
+	ts.Check(err)
+	log, err := os.OpenFile(filepath.Join(ts.Getenv("WORK"), name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	p.cmd = exec.Command(path, p.args[1:]...)
+	p.cmd.Env = append(os.Environ(), secretVariable+"="+testSecret)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	ts.Check(p.cmd.Start())
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		// The exit state is read where it matters, in stop.
+		_ = cmd.Wait()
+		log.Close()
+		close(done)
+	}(p.cmd, p.done)
+	if p.kind != "entry" && p.kind != "agent" {
+		f.ready(ts, name)
+	}
+}
+
+func lookPath(ts *testscript.TestScript, name string) (string, error) {
+	for _, dir := range filepath.SplitList(ts.Getenv("PATH")) {
+		if path := filepath.Join(dir, name); isFile(path) {
+			return path, nil
+		}
+	}
+	return "", fmt.Errorf("%s is not in PATH", name)
+}
+
+func isFile(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && !info.IsDir()
+}
+
+// ready waits until a process takes connections, and an entry until it says so.
+func (f *testFleet) ready(ts *testscript.TestScript, name string) {
+	p := f.procs[name]
+	f.until(ts, "ready "+name, func() bool {
+		if p.kind == "entry" {
+			resp, err := http.Get("http://" + p.addr + "/readyz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		}
+		conn, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	})
+}
+
+func (f *testFleet) until(ts *testscript.TestScript, what string, done func() bool) {
+	deadline := time.Now().Add(patience)
+	for !done() {
+		if time.Now().After(deadline) {
+			f.dumpLogs(ts)
+			ts.Fatalf("gave up waiting: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (f *testFleet) dumpLogs(ts *testscript.TestScript) {
+	for name := range f.procs {
+		b, err := os.ReadFile(filepath.Join(ts.Getenv("WORK"), name+".log"))
+		if err == nil {
+			ts.Logf("log of %s:\n%s", name, b[max(0, len(b)-3000):])
+		}
+	}
+}
+
+func (p *proc) signal(sig syscall.Signal) {
+	if p.cmd != nil && p.cmd.Process != nil {
+		// A process that has ended already cannot be signalled, which is as well.
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// stop ends a process as planned and checks that it leaves cleanly.
+func (f *testFleet) stop(ts *testscript.TestScript, name string) {
+	p := f.procs[name]
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		f.dumpLogs(ts)
+		ts.Fatalf("%s did not stop", name)
+	}
+	if !p.cmd.ProcessState.Success() && p.row.Instance != "" {
+		f.dumpLogs(ts)
+		ts.Fatalf("%s ended with %v", name, p.cmd.ProcessState)
+	}
+	if p.row.Instance != "" {
+		f.request(ts, http.MethodDelete, "platform", "/instances/"+name, "")
+	}
+}
+
+func (f *testFleet) kill(_ *testscript.TestScript, name string) {
+	p := f.procs[name]
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (f *testFleet) freeze(_ *testscript.TestScript, name string) {
+	f.procs[name].signal(syscall.SIGSTOP)
+}
+
+func (f *testFleet) thaw(_ *testscript.TestScript, name string) {
+	f.procs[name].signal(syscall.SIGCONT)
+}
+
+// row sets the state of an instance in the platform's list: live, leaving or gone.
+func (f *testFleet) row(ts *testscript.TestScript, name, state string) {
+	row := f.procs[name].row
+	if state == "gone" {
+		f.request(ts, http.MethodDelete, "platform", "/instances/"+name, "")
+		return
+	}
+	row.Leaving = state == "leaving"
+	f.putRow(ts, row)
+}
+
+func (f *testFleet) putRow(ts *testscript.TestScript, row model.Instance) {
+	b, err := json.Marshal(row)
+	ts.Check(err)
+	f.request(ts, http.MethodPut, "platform", "/instances", string(b))
+}
+
+func (f *testFleet) request(ts *testscript.TestScript, method, name, path, body string) string {
+	r, err := http.NewRequest(method, "http://"+f.procs[name].addr+path, strings.NewReader(body))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	return string(b)
+}
+
+// fault sets the switches of a stand-in.
+func (f *testFleet) fault(ts *testscript.TestScript, name, switches string) {
+	f.request(ts, http.MethodPost, name, "/faults", switches)
+}
+
+// look prints what a stand-in or entry answers to a GET.
+func (f *testFleet) look(ts *testscript.TestScript, name, path string) {
+	fmt.Fprintln(ts.Stdout(), strings.TrimSpace(f.request(ts, http.MethodGet, name, path, "")))
+}
+
+// await repeats a GET until its answer contains a text, or with ! no longer does.
+func (f *testFleet) await(ts *testscript.TestScript, neg bool, args []string) {
+	f.until(ts, strings.Join(args, " "), func() bool {
+		return strings.Contains(f.request(ts, http.MethodGet, args[0], args[1], ""), args[2]) != neg
+	})
+}
+
+// editFile replaces a text in a file: edit FILE OLD NEW.
+func editFile(ts *testscript.TestScript, _ bool, args []string) {
+	old := ts.ReadFile(args[0])
+	if !strings.Contains(old, args[1]) {
+		ts.Fatalf("%s does not contain %q", args[0], args[1])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), bytes.ReplaceAll([]byte(old), []byte(args[1]), []byte(args[2])), 0o600))
+}
--- /dev/null
+++ b/internal/cli/script_test.go
@@ -0,0 +1,43 @@
+package cli
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files of the scripts")
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bramleyhinge": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"standin":      func() { os.Exit(Standin(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		UpdateScripts:       *update,
+		RequireExplicitExec: true,
+		Setup:               setupFleet,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"fleet":  func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).startAll(ts, args[0]) },
+			"call":   func(ts *testscript.TestScript, neg bool, args []string) { fleetOf(ts).call(ts, neg, args) },
+			"result": func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).result(ts, args[0]) },
+			"fault":  func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).fault(ts, args[0], args[1]) },
+			"look":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).look(ts, args[0], args[1]) },
+			"await":  func(ts *testscript.TestScript, neg bool, args []string) { fleetOf(ts).await(ts, neg, args) },
+			"start":  func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).start(ts, args[0]) },
+			"ready":  func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).ready(ts, args[0]) },
+			"stop":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).stop(ts, args[0]) },
+			"kill":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).kill(ts, args[0]) },
+			"freeze": func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).freeze(ts, args[0]) },
+			"thaw":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).thaw(ts, args[0]) },
+			"row":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).row(ts, args[0], args[1]) },
+			"edit":   editFile,
+		},
+	})
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,187 @@
+// Package guard judges a roll-out's version against the version beside it by sequential
+// tests, so that a bad version is found after few requests and a good one seldom stopped.
+package guard
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+const (
+	// falseAlarm is the tolerated chance that a good roll-out is stopped.
+	falseAlarm = 1.0 / 200
+	// span is the number of requests over which the chance of a false alarm is counted.
+	span = 20_000
+	// minControl is the number of outcomes of the old version needed before means are
+	// compared.
+	minControl = 50
+	// floorFailure is the lowest failure rate assumed of a healthy version.
+	floorFailure = 0.005
+	// controlMemory is the number of outcomes after which the old version's fade.
+	controlMemory = 5000.0
+)
+
+// Alternatives that each test looks for: failure rates, drops of the mean rating, and
+// factors of the first-token time.
+var (
+	badFailures = []float64{0.06, 0.25, 0.7}
+	badDrops    = []float64{0.06, 0.15, 0.35}
+	badFactors  = []float64{1.3, 2, 5}
+)
+
+// threshold is the level of a cumulative sum (CUSUM; Page, 1954) at which a version is
+// bad. A sum of log-likelihood ratios passes h within n steps with a chance of at most
+// n*exp(-h); all tests share the tolerated chance.
+var threshold = math.Log(span / falseAlarm * float64(len(badFailures)+len(badDrops)+len(badFactors)) / correction)
+
+// correction allows for the overlap of excursions, which makes the plain bound loose.
+const correction = 100
+
+// Verdict is what the tests say at present.
+type Verdict struct {
+	Bad    bool
+	Level  float64
+	Reason string
+}
+
+// Guard compares one version with another from their tallies.
+type Guard struct {
+	control control
+	fails   []float64
+	drops   []float64
+	slows   []float64
+	seen    int
+}
+
+// New returns a guard that has seen nothing.
+func New() *Guard {
+	return &Guard{
+		fails: make([]float64, len(badFailures)),
+		drops: make([]float64, len(badDrops)),
+		slows: make([]float64, len(badFactors)),
+	}
+}
+
+// Seen returns the number of requests of the new version.
+func (g *Guard) Seen() int { return g.seen }
+
+// Control takes outcomes of the old version.
+func (g *Guard) Control(t model.Tally) { g.control.add(t) }
+
+// Observe takes outcomes of the new version and returns the verdict.
+func (g *Guard) Observe(t model.Tally) Verdict {
+	g.seen += t.Requests
+	g.failures(t)
+	g.quality(t)
+	g.latency(t)
+	return g.Verdict()
+}
+
+// Verdict returns the present verdict; Level is 1 at the threshold.
+func (g *Guard) Verdict() Verdict {
+	tests := []struct {
+		sums []float64
+		name string
+	}{{g.fails, "it fails more often"}, {g.drops, "its answers rate lower"}, {g.slows, "its first token is slower"}}
+	v := Verdict{Reason: "nothing speaks against it"}
+	for _, test := range tests {
+		for _, s := range test.sums {
+			if level := s / threshold; level > v.Level {
+				v.Level, v.Reason = level, fmt.Sprintf("%s than the version beside it", test.name)
+			}
+		}
+	}
+	v.Bad = v.Level >= 1
+	return v
+}
+
+func (g *Guard) failures(t model.Tally) {
+	ok := g.control.failure()
+	for i, bad := range badFailures {
+		bad = math.Max(bad, math.Min(0.95, 3*ok))
+		if bad <= ok {
+			continue
+		}
+		llr := float64(t.Failures)*math.Log(bad/ok) + float64(t.Requests-t.Failures)*math.Log((1-bad)/(1-ok))
+		g.fails[i] = math.Max(0, g.fails[i]+llr)
+	}
+}
+
+func (g *Guard) quality(t model.Tally) {
+	mean, variance, ok := g.control.quality.moments()
+	if !ok {
+		return
+	}
+	for i, drop := range badDrops {
+		llr := drop / variance * (float64(t.Rated)*(mean-drop/2) - t.Quality)
+		g.drops[i] = math.Max(0, g.drops[i]+llr)
+	}
+}
+
+func (g *Guard) latency(t model.Tally) {
+	mean, variance, ok := g.control.first.moments()
+	if !ok {
+		return
+	}
+	for i, factor := range badFactors {
+		rise := math.Log(factor)
+		llr := rise / variance * (t.LogFirst - float64(t.Timed)*(mean+rise/2))
+		g.slows[i] = math.Max(0, g.slows[i]+llr)
+	}
+}
+
+// control sums the outcomes of the old version.
+type control struct {
+	requests float64
+	failed   float64
+	quality  moments
+	first    moments
+}
+
+func (c *control) add(t model.Tally) {
+	if c.requests > controlMemory {
+		c.requests /= 2
+		c.failed /= 2
+	}
+	c.requests += float64(t.Requests)
+	c.failed += float64(t.Failures)
+	c.quality.add(float64(t.Rated), t.Quality, t.Quality2)
+	c.first.add(float64(t.Timed), t.LogFirst, t.LogFirst2)
+}
+
+// failure estimates the old version's failure rate, not below a floor.
+func (c *control) failure() float64 {
+	return math.Max(floorFailure, (c.failed+floorFailure*minControl)/(c.requests+minControl))
+}
+
+// moments sums a quantity for its mean and variance.
+type moments struct {
+	n, sum, square float64
+}
+
+func (m *moments) add(n, sum, square float64) {
+	if m.n > controlMemory {
+		m.n /= 2
+		m.sum /= 2
+		m.square /= 2
+	}
+	m.n += n
+	m.sum += sum
+	m.square += square
+}
+
+// minVariance keeps a constant quantity from making every difference infinite evidence.
+const minVariance = 0.002
+
+// moments returns mean and variance once enough was seen. The variance is widened for the
+// mean's own uncertainty.
+func (m *moments) moments() (mean, variance float64, ok bool) {
+	if m.n < minControl {
+		return 0, 0, false
+	}
+	mean = m.sum / m.n
+	variance = math.Max(minVariance, m.square/m.n-mean*mean)
+	return mean, variance * (1 + 20/m.n), true
+}
--- /dev/null
+++ b/internal/limiter/split.go
@@ -0,0 +1,51 @@
+// Package limiter divides the limits of organisations over the live entries.
+package limiter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// Split divides a limit over entries. An entry that has not reported is given its even
+// share, because that is what it falls back to; the others share the rest by demand
+// (max-min fairness), and what nobody asks for is spread evenly among them.
+func Split(limit float64, entries []model.InstanceID, demand map[model.InstanceID]float64) map[model.InstanceID]float64 {
+	if len(entries) == 0 {
+		return nil
+	}
+	grants := make(map[model.InstanceID]float64, len(entries))
+	even := limit / float64(len(entries))
+	rest := limit
+	var reporting []model.InstanceID
+	for _, e := range entries {
+		if _, ok := demand[e]; ok {
+			reporting = append(reporting, e)
+			continue
+		}
+		grants[e] = even
+		rest -= even
+	}
+	maps.Copy(grants, fill(rest, reporting, demand))
+	return grants
+}
+
+// fill gives each entry its demand if the limit allows, the smallest demands first.
+func fill(rest float64, entries []model.InstanceID, demand map[model.InstanceID]float64) map[model.InstanceID]float64 {
+	grants := make(map[model.InstanceID]float64, len(entries))
+	order := slices.Clone(entries)
+	slices.SortFunc(order, func(a, b model.InstanceID) int {
+		return cmp.Or(cmp.Compare(demand[a], demand[b]), cmp.Compare(a, b))
+	})
+	for i, e := range order {
+		share := rest / float64(len(order)-i)
+		grants[e] = min(demand[e], share)
+		rest -= grants[e]
+	}
+	for _, e := range order {
+		grants[e] += rest / float64(len(order))
+	}
+	return grants
+}
--- /dev/null
+++ b/internal/messenger/client.go
@@ -0,0 +1,204 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// ClientConfig configures the control connections of one process.
+type ClientConfig struct {
+	Instance model.InstanceID
+	Role     model.Role
+	Secret   Secret
+	TLS      *tls.Config
+	Dial     time.Duration
+}
+
+// Pool keeps one control connection for each address and dials on first use.
+type Pool struct {
+	cfg   ClientConfig
+	mu    sync.Mutex
+	peers map[string]*link
+}
+
+// link is a connection or the dial that will make it.
+type link struct {
+	ready chan struct{}
+	conn  *jsonrpc2.Conn
+	err   error
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg ClientConfig) *Pool {
+	if cfg.Dial == 0 {
+		cfg.Dial = time.Second
+	}
+	return &Pool{cfg: cfg, peers: map[string]*link{}}
+}
+
+// Call sends one control call to the address and waits for its reply.
+func Call[Out, In any](ctx context.Context, p *Pool, addr string, m Method, in In) (Out, error) {
+	var out Out
+	conn, err := p.connect(ctx, addr)
+	if err != nil {
+		return out, err
+	}
+	if err := conn.Call(ctx, string(m), in, &out); err != nil {
+		if errors.Is(err, jsonrpc2.ErrClosed) {
+			p.drop(addr, conn)
+		}
+		return out, fmt.Errorf("call %s at %s: %w", m, addr, decodeError(err))
+	}
+	return out, nil
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.peers {
+		select {
+		case <-l.ready:
+			if l.conn != nil {
+				l.conn.Close()
+			}
+		default:
+		}
+		delete(p.peers, addr)
+	}
+}
+
+// Drop closes the connection to an address so that the next call dials again.
+func (p *Pool) Drop(addr string) { p.drop(addr, nil) }
+
+func (p *Pool) connect(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	l, ok := p.peers[addr]
+	if !ok {
+		l = &link{ready: make(chan struct{})}
+		p.peers[addr] = l
+		go p.dial(addr, l)
+	}
+	p.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+	case <-l.ready:
+		return l.conn, l.err
+	}
+}
+
+func (p *Pool) drop(addr string, conn *jsonrpc2.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.peers[addr]
+	if !ok {
+		return
+	}
+	select {
+	case <-l.ready:
+	default:
+		return
+	}
+	if conn != nil && l.conn != conn {
+		return
+	}
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	delete(p.peers, addr)
+}
+
+func (p *Pool) dial(addr string, l *link) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Dial)
+	defer cancel()
+	l.conn, l.err = p.open(ctx, addr)
+	close(l.ready)
+	if l.err != nil {
+		p.mu.Lock()
+		if p.peers[addr] == l {
+			delete(p.peers, addr)
+		}
+		p.mu.Unlock()
+		return
+	}
+	go func() {
+		<-l.conn.DisconnectNotify()
+		p.drop(addr, l.conn)
+	}()
+}
+
+func (p *Pool) open(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", addr, err)
+	}
+	if p.cfg.TLS != nil {
+		tlsConn := tls.Client(conn, clientTLS(p.cfg.TLS, addr))
+		if err := tlsConn.HandshakeContext(ctx); err != nil {
+			conn.Close()
+			return nil, fmt.Errorf("TLS handshake with %s: %w", addr, err)
+		}
+		conn = tlsConn
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	c := jsonrpc2.NewConn(context.Background(), stream, rejectAll{}, jsonrpc2.SetLogger(discard{}))
+	if err := p.hello(ctx, c); err != nil {
+		c.Close()
+		return nil, fmt.Errorf("hello to %s: %w", addr, err)
+	}
+	return c, nil
+}
+
+func clientTLS(cfg *tls.Config, addr string) *tls.Config {
+	c := cfg.Clone()
+	host, _, err := net.SplitHostPort(addr)
+	if err == nil {
+		c.ServerName = host
+	}
+	return c
+}
+
+func (p *Pool) hello(ctx context.Context, c *jsonrpc2.Conn) error {
+	var challenge ChallengeReply
+	if err := c.Call(ctx, string(MethodChallenge), Empty{}, &challenge); err != nil {
+		return err
+	}
+	nonce := newNonce()
+	in := HelloRequest{
+		Instance: p.cfg.Instance,
+		Role:     p.cfg.Role,
+		Nonce:    nonce,
+		MAC:      p.cfg.Secret.sign("hello", string(challenge.Nonce), string(p.cfg.Instance), string(p.cfg.Role)),
+	}
+	var reply HelloReply
+	if err := c.Call(ctx, string(MethodHello), in, &reply); err != nil {
+		return err
+	}
+	if !p.cfg.Secret.verify(reply.MAC, "welcome", string(nonce), string(reply.Instance)) {
+		return errors.New("set the same secret on both instances")
+	}
+	return nil
+}
+
+// rejectAll answers calls on a connection that carries calls in the other direction only.
+type rejectAll struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (rejectAll) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if r.Notif {
+		return
+	}
+	err := &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no calls in this direction"}
+	// A failed reply means that the connection is gone; its owner learns that itself.
+	_ = c.ReplyWithError(ctx, r.ID, err)
+}
--- /dev/null
+++ b/internal/messenger/work.go
@@ -0,0 +1,146 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// Paths of the HTTP/2 work calls.
+const (
+	PathWork   = "/work"
+	PathResume = "/resume"
+	PathCancel = "/cancel"
+	PathAck    = "/ack"
+)
+
+// HeaderProof authenticates a work call and HeaderRequest names its request.
+const (
+	HeaderProof   = "Bramleyhinge-Proof"
+	HeaderRequest = "Bramleyhinge-Request"
+)
+
+// Work is one request on its way to a backend server. Budget is the time left until the
+// caller's deadline; it travels as a duration because clocks differ between instances.
+type Work struct {
+	Request      model.RequestID      `json:"request"`
+	Boot         model.BootID         `json:"boot"`
+	Bill         model.RecordKey      `json:"bill"`
+	Organisation model.OrganisationID `json:"organisation"`
+	Service      model.ServiceID      `json:"service"`
+	Version      model.VersionID      `json:"version,omitempty"`
+	Pinned       bool                 `json:"pinned,omitempty"`
+	Revision     model.Revision       `json:"revision"`
+	Class        model.ClassID        `json:"class"`
+	Priority     model.Priority       `json:"priority"`
+	Budget       time.Duration        `json:"budget"`
+	Idempotent   bool                 `json:"idempotent"`
+	Fingerprint  model.Fingerprint    `json:"fingerprint"`
+	Suspect      bool                 `json:"suspect,omitempty"`
+	Method       string               `json:"method"`
+	Path         string               `json:"path"`
+	Type         string               `json:"type,omitempty"`
+	Stream       bool                 `json:"stream,omitempty"`
+	Body         []byte               `json:"body,omitempty"`
+}
+
+// ResumeRequest asks for the parts of a kept answer from part From on.
+type ResumeRequest struct {
+	Boot    model.BootID    `json:"boot"`
+	Request model.RequestID `json:"request"`
+	From    int             `json:"from"`
+}
+
+// CancelRequest ends a request or prevents it from starting. Boot is the agent's life to
+// which the request was sent.
+type CancelRequest struct {
+	Boot    model.BootID    `json:"boot"`
+	Request model.RequestID `json:"request"`
+}
+
+// CancelReply says whether the request was handed to the backend server.
+type CancelReply struct {
+	Run model.Run `json:"run"`
+}
+
+// AckRequest releases kept answers; the caller has them and their usage is recorded.
+type AckRequest struct {
+	Requests []model.RequestID `json:"requests"`
+}
+
+// FrameKind names the kind of a frame.
+type FrameKind string
+
+// Kinds of frame, in the order in which an answer has them.
+const (
+	FrameHead   FrameKind = "head"
+	FramePart   FrameKind = "part"
+	FrameEnd    FrameKind = "end"
+	FrameRefuse FrameKind = "refuse"
+)
+
+// Frame is one numbered part of an answer.
+type Frame struct {
+	Request model.RequestID `json:"request"`
+	Seq     int             `json:"seq"`
+	Kind    FrameKind       `json:"kind"`
+	Status  int             `json:"status,omitempty"`
+	Type    string          `json:"type,omitempty"`
+	Data    []byte          `json:"data,omitempty"`
+	End     *End            `json:"end,omitempty"`
+	Refusal *model.Refusal  `json:"refusal,omitempty"`
+}
+
+// End closes an answer: the number of frames before it, the digest of all data, the
+// tokens counted and the agent's load.
+type End struct {
+	Frames int         `json:"frames"`
+	Digest uint64      `json:"digest"`
+	Input  int         `json:"input,omitempty"`
+	Output int         `json:"output,omitempty"`
+	Load   *model.Load `json:"load,omitempty"`
+}
+
+// Assembly checks that the frames of one answer are its own, in order and whole.
+type Assembly struct {
+	request model.RequestID
+	next    int
+	digest  *xxhash.Digest
+	done    bool
+}
+
+// NewAssembly returns the check for one request's answer.
+func NewAssembly(id model.RequestID) *Assembly {
+	return &Assembly{request: id, digest: xxhash.New()}
+}
+
+// Next returns the number of the frame that must follow.
+func (a *Assembly) Next() int { return a.next }
+
+// Done reports whether the whole answer has arrived.
+func (a *Assembly) Done() bool { return a.done }
+
+// Accept checks one frame; it returns false for a duplicate, which the caller skips.
+func (a *Assembly) Accept(f Frame) (bool, error) {
+	if f.Request != a.request {
+		return false, model.Refuse(model.KindBroken, "answer of another request arrived: send the request again").WithRun(model.RunUnknown)
+	}
+	if f.Seq < a.next {
+		return false, nil
+	}
+	if f.Seq > a.next || a.done {
+		return false, model.Refuse(model.KindBroken, "part %d of the answer is missing: send the request again", a.next).WithRun(model.RunUnknown)
+	}
+	a.next++
+	if f.Kind != FrameEnd {
+		a.digest.Write(f.Data)
+		return true, nil
+	}
+	if f.End == nil || f.End.Frames != f.Seq || f.End.Digest != a.digest.Sum64() {
+		return false, model.Refuse(model.KindBroken, "answer does not match its digest: send the request again").WithRun(model.RunUnknown)
+	}
+	a.done = true
+	return true, nil
+}
--- /dev/null
+++ b/internal/messenger/worker.go
@@ -0,0 +1,159 @@
+package messenger
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// Pings find an agent that is frozen or cut off while a stream is open.
+const (
+	pingAfter   = 5 * time.Second
+	pingTimeout = 5 * time.Second
+	shortCall   = time.Second
+)
+
+// WorkConfig configures a WorkClient.
+type WorkConfig struct {
+	Secret Secret
+	TLS    *tls.Config
+}
+
+// WorkClient sends work to agents over HTTP/2.
+type WorkClient struct {
+	cfg    WorkConfig
+	scheme string
+	http   *http.Client
+}
+
+// NewWorkClient returns a client with one multiplexed connection for each agent.
+func NewWorkClient(cfg WorkConfig) *WorkClient {
+	t := &http.Transport{
+		Protocols:       InnerProtocols(cfg.TLS),
+		TLSClientConfig: cfg.TLS,
+		IdleConnTimeout: time.Minute,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	scheme := "http"
+	if cfg.TLS != nil {
+		scheme = "https"
+	}
+	return &WorkClient{cfg: cfg, scheme: scheme, http: &http.Client{Transport: t}}
+}
+
+// InnerProtocols returns HTTP/2 with or without TLS.
+func InnerProtocols(cfg *tls.Config) *http.Protocols {
+	p := new(http.Protocols)
+	if cfg == nil {
+		p.SetUnencryptedHTTP2(true)
+	} else {
+		p.SetHTTP2(true)
+	}
+	return p
+}
+
+// ErrNotKept means that the agent answered and does not keep the request.
+var ErrNotKept = errors.New("the agent does not keep this request")
+
+// FrameReader reads the frames of one answer.
+type FrameReader struct {
+	body io.ReadCloser
+	dec  *json.Decoder
+}
+
+// Next returns the next frame; io.EOF before an end frame means that the answer was cut.
+func (r *FrameReader) Next() (Frame, error) {
+	var f Frame
+	err := r.dec.Decode(&f)
+	return f, err
+}
+
+// Close gives up the rest of the answer.
+func (r *FrameReader) Close() { r.body.Close() }
+
+// NewFrameReader reads frames from a body.
+func NewFrameReader(body io.ReadCloser) *FrameReader {
+	return &FrameReader{body: body, dec: json.NewDecoder(body)}
+}
+
+// Start hands work to the agent at addr and returns the frames of its answer.
+func (c *WorkClient) Start(ctx context.Context, addr string, w Work) (*FrameReader, error) {
+	return c.frames(ctx, addr, PathWork, w.Request, w)
+}
+
+// Resume reads a kept answer again from one of its frames.
+func (c *WorkClient) Resume(ctx context.Context, addr string, in ResumeRequest) (*FrameReader, error) {
+	return c.frames(ctx, addr, PathResume, in.Request, in)
+}
+
+// Cancel prevents the request from running or ends it, and tells whether it had started.
+func (c *WorkClient) Cancel(ctx context.Context, addr string, in CancelRequest) (model.Run, error) {
+	ctx, cancel := context.WithTimeout(ctx, shortCall)
+	defer cancel()
+	resp, err := c.post(ctx, addr, PathCancel, in.Request, in)
+	if err != nil {
+		return model.RunUnknown, err
+	}
+	defer resp.Body.Close()
+	var reply CancelReply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+		return model.RunUnknown, fmt.Errorf("decode cancel reply: %w", err)
+	}
+	return reply.Run, nil
+}
+
+// Ack releases the kept answers of the requests.
+func (c *WorkClient) Ack(ctx context.Context, addr string, ids []model.RequestID) error {
+	ctx, cancel := context.WithTimeout(ctx, shortCall)
+	defer cancel()
+	resp, err := c.post(ctx, addr, PathAck, "", AckRequest{Requests: ids})
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (c *WorkClient) frames(ctx context.Context, addr, path string, id model.RequestID, in any) (*FrameReader, error) {
+	resp, err := c.post(ctx, addr, path, id, in)
+	if err != nil {
+		return nil, err
+	}
+	return NewFrameReader(resp.Body), nil
+}
+
+func (c *WorkClient) post(ctx context.Context, addr, path string, id model.RequestID, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", path, err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+"://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build %s: %w", path, err)
+	}
+	// A transport must not repeat work on its own: only the router knows what may run again.
+	r.GetBody = nil
+	r.Header.Set(HeaderProof, c.cfg.Secret.proof(path, id))
+	r.Header.Set(HeaderRequest, string(id))
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("post %s to %s: %w", path, addr, err)
+	}
+	if resp.StatusCode == http.StatusNotFound {
+		resp.Body.Close()
+		return nil, ErrNotKept
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		return nil, fmt.Errorf("post %s to %s: status %d: %s", path, addr, resp.StatusCode, b)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/owner/desk.go
@@ -0,0 +1,248 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/guard"
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
+	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/internal/watcher"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// deskConfig configures the work for one service during one tenure.
+type deskConfig struct {
+	Config
+	Service model.ServiceID
+	Fence   model.Fence
+	Since   time.Time
+}
+
+// desk is the owner's work for one service. All its writes are conditional on revisions
+// that it created itself when it adopted the objects.
+type desk struct {
+	cfg     deskConfig
+	mu      sync.Mutex
+	rollout kept[model.RolloutState]
+	orders  kept[model.OrderSheet]
+	status  kept[Status]
+	guard   *guard.Guard
+	stepped time.Time
+	reports map[model.InstanceID]report
+	loads   map[model.InstanceID]model.Load
+	asked   time.Time
+}
+
+// kept is a stored object that only this tenure writes.
+type kept[T any] struct {
+	value    T
+	revision model.Revision
+}
+
+// report is an entry's last word on its demand.
+type report struct {
+	demand  map[model.OrganisationID]model.Rate
+	running map[model.OrganisationID]int
+	until   time.Time
+}
+
+// Status tells operators what the owner does and why.
+type Status struct {
+	Service model.ServiceID     `json:"service"`
+	Owner   model.InstanceID    `json:"owner"`
+	Fence   model.Fence         `json:"fence"`
+	Rollout *model.RolloutState `json:"rollout,omitempty"`
+	Repair  string              `json:"repair"`
+	Fault   string              `json:"fault,omitempty"`
+}
+
+// StatusKey returns the key of a service's status object.
+func StatusKey(s model.ServiceID) string { return "status/" + string(s) }
+
+func newDesk(cfg deskConfig) *desk {
+	return &desk{
+		cfg:     cfg,
+		guard:   guard.New(),
+		stepped: cfg.Since,
+		reports: map[model.InstanceID]report{},
+		loads:   map[model.InstanceID]model.Load{},
+	}
+}
+
+// adopt reads the service's objects and writes each under the new fencing number.
+func (d *desk) adopt(ctx context.Context) error {
+	holder := kept[model.Holder]{}
+	if err := read(ctx, d.cfg.Store, watcher.HolderKey(d.cfg.Service), &holder); err != nil {
+		return err
+	}
+	holder.value = model.Holder{Service: d.cfg.Service, Holder: d.cfg.Self.Instance, Fence: d.cfg.Fence}
+	if err := write(ctx, d.cfg.Store, watcher.HolderKey(d.cfg.Service), &holder); err != nil {
+		return err
+	}
+	if err := read(ctx, d.cfg.Store, watcher.RolloutKey(d.cfg.Service), &d.rollout); err != nil {
+		return err
+	}
+	d.rollout.value.Service, d.rollout.value.Fence = d.cfg.Service, d.cfg.Fence
+	if err := write(ctx, d.cfg.Store, watcher.RolloutKey(d.cfg.Service), &d.rollout); err != nil {
+		return err
+	}
+	if err := read(ctx, d.cfg.Store, watcher.OrderKey(d.cfg.Service), &d.orders); err != nil {
+		return err
+	}
+	d.orders.value.Service, d.orders.value.Fence = d.cfg.Service, d.cfg.Fence
+	if err := write(ctx, d.cfg.Store, watcher.OrderKey(d.cfg.Service), &d.orders); err != nil {
+		return err
+	}
+	return read(ctx, d.cfg.Store, StatusKey(d.cfg.Service), &d.status)
+}
+
+func read[T any](ctx context.Context, store storer.Store, key string, k *kept[T]) error {
+	o, err := store.Get(ctx, key)
+	if storer.IsKind(err, storer.KindNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read %s: %w", key, err)
+	}
+	if err := json.Unmarshal(o.Value, &k.value); err != nil {
+		return fmt.Errorf("decode %s: %w", key, err)
+	}
+	k.revision = o.Revision
+	return nil
+}
+
+func write[T any](ctx context.Context, store storer.Store, key string, k *kept[T]) error {
+	value, err := json.Marshal(k.value)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	rev, err := storer.PutDurably(ctx, store, key, value, k.revision)
+	if err != nil {
+		return fmt.Errorf("write %s: %w", key, err)
+	}
+	k.revision = rev
+	return nil
+}
+
+// work moves the roll-out and repairs the fleet by one step each.
+func (d *desk) work(ctx context.Context, s *watcher.Service, now time.Time) error {
+	if err := d.moveRollout(ctx, s.Declared, now); err != nil {
+		return err
+	}
+	repair, err := d.repair(ctx, s.Document, now)
+	if err != nil {
+		return err
+	}
+	return d.writeStatus(ctx, repair, s.Fault)
+}
+
+func (d *desk) moveRollout(ctx context.Context, doc *model.Document, now time.Time) error {
+	if doc == nil || doc.Rollout == nil {
+		return nil
+	}
+	d.mu.Lock()
+	state := d.rollout.value
+	if !state.Matches(doc.Rollout) {
+		d.guard, d.stepped = guard.New(), now
+	}
+	next := advance(advanceInput{
+		Rollout: doc.Rollout, State: state, Verdict: d.guard.Verdict(), Seen: d.guard.Seen(),
+		Held: now.Sub(d.stepped), Fence: d.cfg.Fence, Service: d.cfg.Service, Now: now,
+	})
+	d.mu.Unlock()
+	if next == state {
+		return nil
+	}
+	stored := kept[model.RolloutState]{value: next, revision: d.rollout.revision}
+	if err := write(ctx, d.cfg.Store, watcher.RolloutKey(d.cfg.Service), &stored); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if next.Step != state.Step {
+		d.stepped = now
+	}
+	d.rollout = stored
+	d.cfg.Log.Info().Str("service", string(d.cfg.Service)).Str("verdict", string(next.Verdict)).Str("reason", next.Reason).Msg("owner: roll-out moved")
+	return nil
+}
+
+func (d *desk) writeStatus(ctx context.Context, repair, fault string) error {
+	next := Status{Service: d.cfg.Service, Owner: d.cfg.Self.Instance, Fence: d.cfg.Fence, Repair: repair, Fault: fault}
+	if d.rollout.value.Version != "" {
+		state := d.rollout.value
+		next.Rollout = &state
+	}
+	if sameStatus(next, d.status.value) {
+		return nil
+	}
+	d.status.value = next
+	return write(ctx, d.cfg.Store, StatusKey(d.cfg.Service), &d.status)
+}
+
+func sameStatus(a, b Status) bool {
+	if (a.Rollout == nil) != (b.Rollout == nil) || a.Rollout != nil && *a.Rollout != *b.Rollout {
+		return false
+	}
+	a.Rollout, b.Rollout = nil, nil
+	return a == b
+}
+
+// grantIntervals is how many report intervals a grant lasts.
+const grantIntervals = 2
+
+// report takes one entry's tallies and demand. A new owner gives no grants until those of
+// the last owner have run out.
+func (d *desk) report(in messenger.ReportRequest, doc *model.Document, entries []model.Instance, now time.Time) messenger.ReportReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	valid := grantIntervals * in.Interval
+	d.observe(in.Tallies, doc)
+	d.reports[in.Entry] = report{demand: in.Demand, running: in.Running, until: now.Add(valid)}
+	if now.Sub(d.cfg.Since) < valid {
+		return messenger.ReportReply{}
+	}
+	reply := messenger.ReportReply{Grants: map[model.OrganisationID]model.Grant{}, Valid: valid}
+	for _, o := range doc.Organisations {
+		if o.Rate > 0 || o.Concurrency > 0 {
+			reply.Grants[o.Organisation] = d.grant(o, in.Entry, entries, now)
+		}
+	}
+	return reply
+}
+
+func (d *desk) observe(tallies []model.Tally, doc *model.Document) {
+	if doc.Rollout == nil {
+		return
+	}
+	for _, t := range tallies {
+		switch t.Version {
+		case doc.Rollout.Against:
+			d.guard.Control(t)
+		case doc.Rollout.Version:
+			d.guard.Observe(t)
+		}
+	}
+}
+
+func (d *desk) grant(o model.Organisation, entry model.InstanceID, entries []model.Instance, now time.Time) model.Grant {
+	ids := make([]model.InstanceID, 0, len(entries))
+	rates := map[model.InstanceID]float64{}
+	running := map[model.InstanceID]float64{}
+	for _, e := range entries {
+		ids = append(ids, e.Instance)
+		if r, ok := d.reports[e.Instance]; ok && now.Before(r.until) {
+			rates[e.Instance] = float64(r.demand[o.Organisation])
+			running[e.Instance] = float64(r.running[o.Organisation])
+		}
+	}
+	return model.Grant{
+		Rate:        model.Rate(limiter.Split(float64(o.Rate), ids, rates)[entry]),
+		Concurrency: int(limiter.Split(float64(o.Concurrency), ids, running)[entry]),
+	}
+}
--- /dev/null
+++ b/internal/recorder/ledger.go
@@ -0,0 +1,120 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// Config configures a Ledger. Window is how long claims and pins are kept.
+type Config struct {
+	Self   model.InstanceID
+	Store  storer.Store
+	Shards int
+	Flush  time.Duration
+	Window time.Duration
+	Log    zerolog.Logger
+}
+
+// Ledger writes the shards for which this entry is asked; any entry may write any shard.
+type Ledger struct {
+	cfg    Config
+	shards []*shard
+}
+
+// New returns a ledger that has read nothing yet.
+func New(cfg Config) *Ledger {
+	l := &Ledger{cfg: cfg}
+	for i := range cfg.Shards {
+		l.shards = append(l.shards, newShard(i, cfg))
+	}
+	return l
+}
+
+// Run commits waiting records until the context ends.
+func (l *Ledger) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, s := range l.shards {
+		wg.Go(func() { s.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Append commits records of one shard and returns one outcome for each, in order.
+func (l *Ledger) Append(ctx context.Context, shard int, records []model.Record) ([]model.Outcome, error) {
+	if shard < 0 || shard >= len(l.shards) {
+		return nil, model.Refuse(model.KindBadRequest, "shard %d does not exist: set ledger.shards alike on all entries", shard)
+	}
+	return l.shards[shard].append(ctx, records)
+}
+
+// Lookup returns what the shard keeps under a key.
+func (l *Ledger) Lookup(ctx context.Context, shard int, key model.RecordKey) (model.Outcome, error) {
+	if shard < 0 || shard >= len(l.shards) {
+		return model.Outcome{}, model.Refuse(model.KindBadRequest, "shard %d does not exist: set ledger.shards alike on all entries", shard)
+	}
+	return l.shards[shard].lookup(ctx, key)
+}
+
+// Register answers the ledger calls of other processes.
+func (l *Ledger) Register(s *messenger.Server) {
+	messenger.Handle(s, messenger.MethodRecord, func(ctx context.Context, _ messenger.Peer, in messenger.RecordRequest) (messenger.RecordReply, error) {
+		outcomes, err := l.Append(ctx, in.Shard, in.Records)
+		return messenger.RecordReply{Outcomes: outcomes}, err
+	})
+	messenger.Handle(s, messenger.MethodLookup, func(ctx context.Context, _ messenger.Peer, in messenger.LookupRequest) (model.Outcome, error) {
+		return l.Lookup(ctx, in.Shard, in.Key)
+	})
+}
+
+// ShardOf returns the shard of a key.
+func ShardOf(key model.RecordKey, shards int) int {
+	return int(xxhash.Sum64String(string(key)) % uint64(shards))
+}
+
+// ShardName is the key by which rendezvous hashing picks a shard's usual writer.
+func ShardName(shard int) string { return fmt.Sprintf("ledger/%02d", shard) }
+
+// Totals reads all shards and sums the usage by organisation, service and day.
+func Totals(ctx context.Context, store storer.Store, shards int, window time.Duration) (map[TotalKey]Total, error) {
+	sum := map[TotalKey]Total{}
+	for i := range shards {
+		l, err := load(ctx, store, i, window)
+		if err != nil {
+			return nil, err
+		}
+		for k, t := range l.state.totals {
+			old := sum[k]
+			sum[k] = Total{
+				Requests: old.Requests + t.Requests,
+				Input:    old.Input + t.Input,
+				Output:   old.Output + t.Output,
+				Cost:     old.Cost + t.Cost,
+			}
+		}
+	}
+	return sum, nil
+}
+
+// Key builders keep the kinds of record apart in one shard.
+
+// ClaimKey returns the ledger key of an organisation's idempotency key.
+func ClaimKey(service model.ServiceID, org model.OrganisationID, key model.IdempotencyKey) model.RecordKey {
+	return model.RecordKey("claim/" + string(service) + "/" + string(org) + "/" + string(key))
+}
+
+// PinKey returns the ledger key of a bare session.
+func PinKey(service model.ServiceID, org model.OrganisationID, id model.SessionID) model.RecordKey {
+	return model.RecordKey("pin/" + string(service) + "/" + string(org) + "/" + string(id))
+}
+
+// UsageKey returns the ledger key of a request's billing line.
+func UsageKey(id model.RequestID) model.RecordKey { return model.RecordKey("usage/" + string(id)) }
--- /dev/null
+++ b/internal/recorder/segment.go
@@ -0,0 +1,187 @@
+package recorder
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"path"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// segment is one group commit. Nonce tells a writer's own segment from another's.
+type segment struct {
+	Writer  model.InstanceID `json:"writer"`
+	Nonce   string           `json:"nonce"`
+	Time    time.Time        `json:"time"`
+	Records []model.Record   `json:"records"`
+}
+
+// manifest says which chunks replace the segments up to Seq.
+type manifest struct {
+	Seq    int          `json:"seq"`
+	Chunks []chunkEntry `json:"chunks"`
+	Totals []totalEntry `json:"totals"`
+}
+
+type chunkEntry struct {
+	Key  string    `json:"key"`
+	Last time.Time `json:"last"`
+}
+
+type totalEntry struct {
+	TotalKey
+	Total
+}
+
+// chunk holds the records of many segments, each with its segment's time.
+type chunk struct {
+	Segments []segment `json:"segments"`
+}
+
+func shardPrefix(shard int) string     { return fmt.Sprintf("ledger/%02d/", shard) }
+func segmentPrefix(shard int) string   { return shardPrefix(shard) + "s/" }
+func segmentKey(shard, seq int) string { return fmt.Sprintf("%s%012d", segmentPrefix(shard), seq) }
+
+// chunkKey holds the writer's nonce, since two writers may split the same segments differently.
+func chunkKey(shard, seq, part int, nonce string) string {
+	return fmt.Sprintf("%sc/%012d-%d-%s", shardPrefix(shard), seq, part, nonce)
+}
+
+func manifestKey(shard int) string          { return shardPrefix(shard) + "manifest" }
+func sequence(o storer.Object) (int, error) { return strconv.Atoi(path.Base(o.Key)) }
+
+// loaded is what a shard reads from the platform.
+type loaded struct {
+	state    *state
+	seq      int
+	manifest manifest
+	revision model.Revision
+	segments []segment
+}
+
+// load rebuilds a shard from its manifest, chunks and later segments.
+func load(ctx context.Context, store storer.Store, shard int, window time.Duration) (*loaded, error) {
+	l := &loaded{state: newState(window)}
+	if err := l.loadManifest(ctx, store, shard); err != nil {
+		return nil, err
+	}
+	listing, err := store.List(ctx, segmentPrefix(shard))
+	if err != nil {
+		return nil, fmt.Errorf("list segments of shard %d: %w", shard, err)
+	}
+	for _, o := range listing.Objects {
+		n, err := sequence(o)
+		if err != nil || n <= l.seq {
+			continue
+		}
+		if n != l.seq+1 {
+			return nil, fmt.Errorf("segment %d of shard %d is missing: %w", l.seq+1, shard, &storer.Error{Kind: storer.KindUnavailable, Key: o.Key})
+		}
+		if err := l.add(o); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func (l *loaded) loadManifest(ctx context.Context, store storer.Store, shard int) error {
+	o, err := store.Get(ctx, manifestKey(shard))
+	if storer.IsKind(err, storer.KindNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read manifest of shard %d: %w", shard, err)
+	}
+	if err := json.Unmarshal(o.Value, &l.manifest); err != nil {
+		return fmt.Errorf("decode manifest of shard %d: %w", shard, err)
+	}
+	l.revision = o.Revision
+	for _, c := range l.manifest.Chunks {
+		if err := l.loadChunk(ctx, store, c.Key); err != nil {
+			return err
+		}
+	}
+	l.seq = l.manifest.Seq
+	l.state.totals = map[TotalKey]Total{}
+	for _, t := range l.manifest.Totals {
+		l.state.totals[t.TotalKey] = t.Total
+	}
+	return nil
+}
+
+func (l *loaded) loadChunk(ctx context.Context, store storer.Store, key string) error {
+	o, err := store.Get(ctx, key)
+	if err != nil {
+		return fmt.Errorf("read chunk %s: %w", key, err)
+	}
+	var c chunk
+	if err := json.Unmarshal(o.Value, &c); err != nil {
+		return fmt.Errorf("decode chunk %s: %w", key, err)
+	}
+	for _, s := range c.Segments {
+		l.state.replay(s)
+	}
+	return nil
+}
+
+func (l *loaded) add(o storer.Object) error {
+	s, err := decodeSegment(o)
+	if err != nil {
+		return err
+	}
+	l.state.replay(s)
+	l.segments = append(l.segments, s)
+	l.seq++
+	return nil
+}
+
+func decodeSegment(o storer.Object) (segment, error) {
+	var s segment
+	if err := json.Unmarshal(o.Value, &s); err != nil {
+		return s, fmt.Errorf("decode segment %s: %w", o.Key, err)
+	}
+	return s, nil
+}
+
+// replay applies the records of a segment in order.
+func (s *state) replay(seg segment) {
+	s.expire(seg.Time)
+	for _, r := range seg.Records {
+		s.apply(r)
+	}
+}
+
+// pack splits segments into chunks that fit one value.
+func pack(segments []segment) ([][]byte, error) {
+	var out [][]byte
+	for len(segments) > 0 {
+		n := len(segments)
+		for {
+			b, err := json.Marshal(chunk{Segments: segments[:n]})
+			if err != nil {
+				return nil, fmt.Errorf("encode chunk: %w", err)
+			}
+			if len(b) <= maxChunk || n == 1 {
+				out = append(out, b)
+				break
+			}
+			n = (n + 1) / 2
+		}
+		segments = segments[n:]
+	}
+	return out, nil
+}
+
+// maxChunk leaves room below the platform's value limit.
+const maxChunk = storer.MaxValue * 9 / 10
+
+// without drops chunks that the window has passed.
+func (m manifest) without(before time.Time) manifest {
+	m.Chunks = slices.DeleteFunc(slices.Clone(m.Chunks), func(c chunkEntry) bool { return c.Last.Before(before) })
+	return m
+}
--- /dev/null
+++ b/internal/router/entry.go
@@ -0,0 +1,183 @@
+// Package router is the entry: it takes callers' requests, decides version and backend
+// server, and passes on whole answers or true refusals.
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
+	"github.com/bramleyhinge/bramleyhinge/internal/explainer"
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
+	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/owner"
+	"github.com/bramleyhinge/bramleyhinge/internal/recorder"
+	"github.com/bramleyhinge/bramleyhinge/internal/signer"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/internal/watcher"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// explained is the number of decision records that an entry keeps.
+const explained = 4096
+
+// Config configures an Entry.
+type Config struct {
+	Settings *model.Settings
+	Self     model.Instance
+	Watcher  *watcher.Watcher
+	Store    storer.Store
+	Pool     *messenger.Pool
+	Work     *messenger.WorkClient
+	Ledger   *recorder.Ledger
+	Records  *recorder.Client
+	Signer   *signer.Signer
+	Owner    *owner.Owner
+	Meter    *meter.Meter
+	Log      zerolog.Logger
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg     Config
+	fleet   *fleet
+	book    *chooser.Book
+	limits  *limiter.Limiter
+	ring    *explainer.Ring
+	acks    *ackQueue
+	rater   *raterClient
+	tallies *tallyBoard
+	budget  *retryBudget
+	pins    *pinCache
+	leaving atomic.Bool
+}
+
+// New returns an entry that has not started.
+func New(cfg Config) *Entry {
+	e := &Entry{
+		cfg:     cfg,
+		book:    chooser.NewBook(),
+		limits:  limiter.New(),
+		ring:    explainer.NewRing(explained),
+		tallies: newTallyBoard(),
+		budget:  newRetryBudget(),
+		pins:    newPinCache(),
+	}
+	e.fleet = newFleet(fleetConfig{Self: cfg.Self, Watcher: cfg.Watcher, Pool: cfg.Pool, Log: cfg.Log})
+	e.acks = newAckQueue(cfg.Work, cfg.Log)
+	e.rater = newRaterClient(raterConfig{URL: cfg.Settings.Rater, Log: cfg.Log})
+	return e
+}
+
+// Register answers control calls.
+func (e *Entry) Register(s *messenger.Server) {
+	e.cfg.Watcher.Register(s)
+	e.cfg.Ledger.Register(s)
+	e.cfg.Owner.Register(s)
+	messenger.Handle(s, messenger.MethodExplain, e.serveExplain)
+	messenger.Handle(s, messenger.MethodStatus, e.serveStatus)
+	messenger.Handle(s, messenger.MethodSuspect, e.serveSuspect)
+}
+
+// Run serves until the context ends, then drains: it turns unready, waits for the
+// balancer to notice, finishes what runs and flushes the ledger.
+func (e *Entry) Run(ctx context.Context, callers, control net.Listener, server *messenger.Server) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	httpServer := &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    int(e.cfg.Settings.Limits.Header),
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- httpServer.Serve(newLimitListener(callers, e.cfg.Settings.Limits.Connections)) }()
+	go func() { errs <- server.Serve(life, control) }()
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context){
+		e.cfg.Watcher.Run, e.cfg.Ledger.Run, e.cfg.Records.Run, e.cfg.Signer.Run, e.cfg.Owner.Run,
+		e.fleet.run, e.acks.run, e.rater.run, e.reportLoop,
+	} {
+		wg.Go(func() { run(life) })
+	}
+	select {
+	case err := <-errs:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	e.drain(life, httpServer)
+	server.Close()
+	end()
+	wg.Wait()
+	return nil
+}
+
+func (e *Entry) drain(ctx context.Context, server *http.Server) {
+	e.leaving.Store(true)
+	e.cfg.Log.Info().Msg("entry: leaving, no longer ready")
+	pause(ctx, e.cfg.Settings.Drain.Lag)
+	shutdown, cancel := context.WithTimeout(ctx, e.cfg.Settings.Drain.Grace)
+	defer cancel()
+	if err := server.Shutdown(shutdown); err != nil {
+		e.cfg.Log.Warn().Err(err).Msg("entry: requests were still running at the end of the grace time")
+	}
+	e.cfg.Owner.Resign(ctx)
+	for e.cfg.Records.Waiting() > 0 && shutdown.Err() == nil {
+		e.cfg.Records.Flush(shutdown)
+		pause(shutdown, 50*time.Millisecond)
+	}
+	e.acks.flush(shutdown)
+	e.cfg.Log.Info().Msg("entry: left")
+}
+
+// Ready reports whether callers should be sent here.
+func (e *Entry) Ready(now time.Time) bool {
+	return !e.leaving.Load() && e.cfg.Watcher.Ready() && e.cfg.Watcher.Standing(now) != watcher.StandingCutOff
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// limitListener bounds the connections that callers may hold.
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func newLimitListener(l net.Listener, n int) net.Listener {
+	return &limitListener{Listener: l, slots: make(chan struct{}, n)}
+}
+
+// Accept waits for a free slot and then for a connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close gives the slot back.
+func (c *limitedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/splitter/splitter.go
@@ -0,0 +1,71 @@
+// Package splitter cuts a server-sent event stream (WHATWG HTML, section 9.2) into events
+// without changing their bytes.
+package splitter
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// Done is the data of the closing event of a completions stream.
+const Done = "[DONE]"
+
+// maxEvent bounds one event.
+const maxEvent = 1 << 20
+
+// ErrTooLarge reports an event over a mebibyte; the sender must split it.
+var ErrTooLarge = errors.New("event is over 1 MiB: split it")
+
+// Splitter reads events from a stream.
+type Splitter struct {
+	r *bufio.Reader
+}
+
+// New returns a splitter of the stream.
+func New(r io.Reader) *Splitter { return &Splitter{r: bufio.NewReaderSize(r, 16<<10)} }
+
+// Next returns the bytes of the next event with its blank line. A stream that stops
+// inside an event gives io.ErrUnexpectedEOF.
+func (s *Splitter) Next() ([]byte, error) {
+	var event []byte
+	for {
+		line, err := s.r.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEvent {
+			return nil, ErrTooLarge
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+		if isBlank(line) && endsLine(event, line) && len(bytes.TrimSpace(event)) > 0 {
+			return event, nil
+		}
+	}
+}
+
+func isBlank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+
+// endsLine reports whether line is a whole line and not the tail of a longer one.
+func endsLine(event, line []byte) bool {
+	before := event[:len(event)-len(line)]
+	return len(before) == 0 || before[len(before)-1] == '\n'
+}
+
+// Data returns the value of the event's data field, without its line end.
+func Data(event []byte) []byte {
+	var out [][]byte
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			out = append(out, bytes.TrimPrefix(bytes.TrimRight(data, "\r\n"), []byte(" ")))
+		}
+	}
+	return bytes.Join(out, []byte("\n"))
+}
--- /dev/null
+++ b/internal/storer/store.go
@@ -0,0 +1,130 @@
+// Package storer reaches the platform's object API and instance list.
+package storer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// MaxValue is the largest value that the platform stores.
+const MaxValue = 1 << 20
+
+// Object is one stored object, or its deletion in a watch.
+type Object struct {
+	Key      string         `json:"key"`
+	Revision model.Revision `json:"revision"`
+	Value    []byte         `json:"value,omitempty"`
+	Deleted  bool           `json:"deleted,omitempty"`
+}
+
+// Listing is the answer of List and Watch; Revision is the store's newest revision
+// at the moment of the answer, from which the next watch continues.
+type Listing struct {
+	Objects  []Object       `json:"objects"`
+	Revision model.Revision `json:"revision"`
+}
+
+// Store is the platform's object API.
+//
+// Put with expect 0 creates the object only if it is absent; any other expect must
+// equal the stored revision. Errors are of type *Error.
+type Store interface {
+	Get(ctx context.Context, key string) (Object, error)
+	List(ctx context.Context, prefix string) (Listing, error)
+	Put(ctx context.Context, key string, value []byte, expect model.Revision) (model.Revision, error)
+	Delete(ctx context.Context, key string, expect model.Revision) error
+	Watch(ctx context.Context, prefix string, from model.Revision, wait time.Duration) (Listing, error)
+}
+
+// Lister is the platform's instance list, which lags behind the instances.
+type Lister interface {
+	Instances(ctx context.Context) ([]model.Instance, error)
+}
+
+// Kind is the reason of a store error.
+type Kind string
+
+// Kinds of store error. After KindUnknown the change may or may not have taken effect.
+const (
+	KindNotFound    Kind = "not_found"
+	KindConflict    Kind = "conflict"
+	KindUnavailable Kind = "unavailable"
+	KindUnknown     Kind = "outcome_unknown"
+	KindCompacted   Kind = "compacted"
+	KindTooLarge    Kind = "too_large"
+)
+
+// Error is a typed failure of the object API.
+type Error struct {
+	Kind    Kind           `json:"kind"`
+	Key     string         `json:"key,omitempty"`
+	Current model.Revision `json:"current,omitempty"`
+	Cause   error          `json:"-"`
+}
+
+// Error names the object and the remedy.
+func (e *Error) Error() string {
+	switch e.Kind {
+	case KindNotFound:
+		return fmt.Sprintf("object %s does not exist: create it first", e.Key)
+	case KindConflict:
+		return fmt.Sprintf("object %s is at revision %d: read it again and repeat the change", e.Key, e.Current)
+	case KindUnknown:
+		return fmt.Sprintf("answer for object %s was lost: read it back before repeating the change", e.Key)
+	case KindCompacted:
+		return "watch is older than the kept events: list again"
+	case KindTooLarge:
+		return fmt.Sprintf("object %s is over %d bytes: split it", e.Key, MaxValue)
+	default:
+		return fmt.Sprintf("platform is unavailable: try again later (%v)", e.Cause)
+	}
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// IsKind reports whether err is a store error of the kind.
+func IsKind(err error, kind Kind) bool {
+	var se *Error
+	return errors.As(err, &se) && se.Kind == kind
+}
+
+// PutDurably writes a value and settles a lost answer by reading the object back.
+// A lost answer counts as success only if the stored value is the written one, so
+// the value must be distinguishable from what other writers would store.
+func PutDurably(ctx context.Context, s Store, key string, value []byte, expect model.Revision) (model.Revision, error) {
+	rev, err := s.Put(ctx, key, value, expect)
+	if !IsKind(err, KindUnknown) {
+		return rev, err
+	}
+	return settle(ctx, s, key, value, expect)
+}
+
+const (
+	settleTries = 5
+	settlePause = 50 * time.Millisecond
+)
+
+func settle(ctx context.Context, s Store, key string, value []byte, expect model.Revision) (model.Revision, error) {
+	for range settleTries {
+		o, err := s.Get(ctx, key)
+		switch {
+		case err == nil && string(o.Value) == string(value) && o.Revision > expect:
+			return o.Revision, nil
+		case err == nil && o.Revision != expect:
+			return 0, &Error{Kind: KindConflict, Key: key, Current: o.Revision}
+		case err == nil || IsKind(err, KindNotFound):
+			return 0, &Error{Kind: KindUnavailable, Key: key, Cause: errors.New("the change did not take effect")}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, &Error{Kind: KindUnknown, Key: key, Cause: ctx.Err()}
+		case <-time.After(settlePause):
+		}
+	}
+	return 0, &Error{Kind: KindUnknown, Key: key}
+}
--- /dev/null
+++ b/internal/watcher/catalogue.go
@@ -0,0 +1,153 @@
+package watcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+	"github.com/bramleyhinge/bramleyhinge/pkg/parser"
+)
+
+// Service is one service as it is in force. Document includes what the roll-out decided;
+// Fault says why a newer stored document is not in force.
+type Service struct {
+	Document *model.Document
+	Declared *model.Document
+	Revision model.Revision
+	Rollout  *model.RolloutState
+	Orders   *model.OrderSheet
+	Holder   *model.Holder
+	Fault    string
+}
+
+// Catalogue is an immutable view of everything in force.
+type Catalogue struct {
+	Services   map[model.ServiceID]*Service
+	Quarantine model.Quarantine
+	byKey      map[model.KeyHash][]*Service
+}
+
+func newCatalogue() *Catalogue {
+	return &Catalogue{Services: map[model.ServiceID]*Service{}, byKey: map[model.KeyHash][]*Service{}}
+}
+
+// Access is one service that a key opens.
+type Access struct {
+	Service      *Service
+	Organisation model.Organisation
+}
+
+// Authenticate returns the services that the key opens, ordered by name.
+func (c *Catalogue) Authenticate(key string) []Access {
+	hash := model.HashKey(key)
+	var out []Access
+	for _, s := range c.byKey[hash] {
+		if o, ok := s.Document.Authenticate(hash); ok {
+			out = append(out, Access{Service: s, Organisation: o})
+		}
+	}
+	return out
+}
+
+// with returns a catalogue in which the changed objects are in force.
+func (c *Catalogue) with(objects []storer.Object) *Catalogue {
+	next := &Catalogue{Services: maps.Clone(c.Services), Quarantine: c.Quarantine}
+	for _, o := range objects {
+		next.apply(o)
+	}
+	next.index()
+	return next
+}
+
+func (c *Catalogue) apply(o storer.Object) {
+	if o.Key == QuarantineKey {
+		var q model.Quarantine
+		if json.Unmarshal(o.Value, &q) == nil {
+			c.Quarantine = q
+		}
+		return
+	}
+	slash := strings.LastIndexByte(o.Key, '/')
+	prefix, id := o.Key[:slash+1], model.ServiceID(o.Key[slash+1:])
+	s := Service{}
+	if old := c.Services[id]; old != nil {
+		s = *old
+	}
+	switch prefix {
+	case documentPrefix:
+		s.applyDocument(o)
+	case rolloutPrefix:
+		s.Rollout = decode[model.RolloutState](o)
+	case orderPrefix:
+		s.Orders = decode[model.OrderSheet](o)
+	case holderPrefix:
+		s.Holder = decode[model.Holder](o)
+	default:
+		return
+	}
+	s.Document = effective(s.Declared, s.Rollout)
+	c.Services[id] = &s
+}
+
+func decode[T any](o storer.Object) *T {
+	if o.Deleted {
+		return nil
+	}
+	var v T
+	if json.Unmarshal(o.Value, &v) != nil {
+		return nil
+	}
+	return &v
+}
+
+// applyDocument puts a document in force, or records why the last good one stays.
+func (s *Service) applyDocument(o storer.Object) {
+	env := decode[model.Envelope](o)
+	if env == nil || env.Deleted {
+		s.Declared, s.Revision, s.Fault = nil, o.Revision, ""
+		return
+	}
+	d, err := parser.ParseDocument(o.Key, []byte(env.Text))
+	if err == nil && DocumentKey(d.Service) != o.Key {
+		err = fmt.Errorf("the document of %s names service %s: apply it under its own name", o.Key, d.Service)
+	}
+	if err != nil {
+		s.Fault = fmt.Sprintf("revision %d is not in force: %v", o.Revision, err)
+		return
+	}
+	s.Declared, s.Revision, s.Fault = d, o.Revision, ""
+}
+
+// effective returns the document with the roll-out's withdrawal applied.
+func effective(d *model.Document, state *model.RolloutState) *model.Document {
+	if d == nil || !state.Matches(d.Rollout) || state.Verdict != model.VerdictWithdrawn {
+		return d
+	}
+	c := *d
+	c.Versions = slices.Clone(d.Versions)
+	for i := range c.Versions {
+		if c.Versions[i].Version == state.Version {
+			c.Versions[i].State = model.StateWithdrawn
+		}
+	}
+	return &c
+}
+
+func (c *Catalogue) index() {
+	c.byKey = map[model.KeyHash][]*Service{}
+	for _, id := range slices.Sorted(maps.Keys(c.Services)) {
+		s := c.Services[id]
+		if s.Document == nil {
+			continue
+		}
+		for _, o := range s.Document.Organisations {
+			for _, k := range o.Keys {
+				c.byKey[k] = append(c.byKey[k], s)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/watcher/feed.go
@@ -0,0 +1,103 @@
+package watcher
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// Feed holds the newest known object of every key; revisions only rise.
+type Feed struct {
+	mu        sync.Mutex
+	objects   map[string]storer.Object
+	revision  model.Revision
+	confirmed time.Time
+	changed   chan struct{}
+	catalogue atomic.Pointer[Catalogue]
+}
+
+// NewFeed returns an empty feed.
+func NewFeed() *Feed {
+	f := &Feed{objects: map[string]storer.Object{}, changed: make(chan struct{})}
+	f.catalogue.Store(newCatalogue())
+	return f
+}
+
+// Catalogue returns what is in force.
+func (f *Feed) Catalogue() *Catalogue { return f.catalogue.Load() }
+
+// Confirmed returns when the feed was last known to be current.
+func (f *Feed) Confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// Revision returns the revision up to which the feed is complete.
+func (f *Feed) Revision() model.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// Apply takes objects from a source that was complete up to revision at confirmed.
+// An object older than the known one is dropped; a source older than the feed, such as
+// a stale read, confirms nothing.
+func (f *Feed) Apply(objects []storer.Object, revision model.Revision, confirmed time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var fresh []storer.Object
+	for _, o := range objects {
+		if o.Revision > f.objects[o.Key].Revision {
+			f.objects[o.Key] = o
+			fresh = append(fresh, o)
+		}
+	}
+	if revision >= f.revision {
+		f.revision = revision
+		if confirmed.After(f.confirmed) {
+			f.confirmed = confirmed
+		}
+	}
+	if len(fresh) > 0 {
+		f.catalogue.Store(f.catalogue.Load().with(fresh))
+		f.notify()
+	}
+}
+
+// Wake ends all waits, so that their callers look again.
+func (f *Feed) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify()
+}
+
+func (f *Feed) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Batch is a consistent answer to a poll: every object up to Revision that the poller lacks.
+type Batch struct {
+	Objects   []storer.Object
+	Revision  model.Revision
+	Confirmed time.Time
+	Changed   <-chan struct{}
+}
+
+// Since returns the objects newer than from that concern the service; Changed closes on
+// the next change.
+func (f *Feed) Since(from model.Revision, service model.ServiceID) Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := Batch{Revision: f.revision, Confirmed: f.confirmed, Changed: f.changed}
+	for _, o := range f.objects {
+		if o.Revision > from && concerns(o.Key, service) {
+			b.Objects = append(b.Objects, o)
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/model/document.go
@@ -0,0 +1,232 @@
+package model
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells how calls of a service are read.
+type Kind string
+
+// Kinds of service.
+const (
+	KindModel Kind = "model"
+	KindPlain Kind = "plain"
+)
+
+// State tells which work a version may take.
+type State string
+
+// States of a version.
+const (
+	StateServing   State = "serving"
+	StateRetiring  State = "retiring"
+	StateWithdrawn State = "withdrawn"
+)
+
+// Priority orders requests in an admission queue.
+type Priority string
+
+// Priorities, the most urgent first.
+const (
+	PriorityHigh   Priority = "high"
+	PriorityNormal Priority = "normal"
+	PriorityBatch  Priority = "batch"
+)
+
+// Rank returns 0 for the most urgent priority.
+func (p Priority) Rank() int {
+	switch p {
+	case PriorityHigh:
+		return 0
+	case PriorityBatch:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// Fallback tells what a rule does when its first choice cannot be had.
+type Fallback string
+
+// Fallbacks of a document.
+const (
+	FallbackServe  Fallback = "serve"
+	FallbackRefuse Fallback = "refuse"
+	FallbackMove   Fallback = "move"
+)
+
+// KeyHash is the SHA-256 digest of an organisation's API key.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the digest under which a key is stored.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Document is the checked service document; its values are never changed after parsing.
+type Document struct {
+	Service       ServiceID
+	Kind          Kind
+	Cutoff        Fallback
+	Target        Quality
+	Confidence    Share
+	Explore       Share
+	Cascade       bool
+	Egress        VolumePrice
+	Session       SessionRule
+	Versions      []Version
+	Organisations []Organisation
+	Classes       []Class
+	Routes        []Route
+	Rollout       *Rollout
+}
+
+// SessionRule tells how long a session pin lives and what happens when its version is withdrawn.
+type SessionRule struct {
+	TTL       time.Duration
+	Withdrawn Fallback
+}
+
+// Version describes one version of a model.
+type Version struct {
+	Version  VersionID
+	Model    ModelID
+	State    State
+	Input    TokenPrice
+	Output   TokenPrice
+	Prior    Quality
+	Weight   float64
+	Replicas int
+}
+
+// Organisation says what one organisation may use.
+type Organisation struct {
+	Organisation OrganisationID
+	Keys         []KeyHash
+	Versions     []VersionID
+	Target       Quality
+	Rate         Rate
+	Concurrency  int
+	Priority     Priority
+	Weight       float64
+}
+
+// Class groups requests of like urgency.
+type Class struct {
+	Class    ClassID
+	Priority Priority
+	Deadline time.Duration
+}
+
+// Route describes one call of a plain service.
+type Route struct {
+	Route      string
+	Method     string
+	Class      ClassID
+	Idempotent bool
+}
+
+// Rollout moves traffic from one version to another by steps.
+type Rollout struct {
+	Version VersionID
+	Against VersionID
+	Steps   []Share
+	Hold    time.Duration
+	Attempt int
+}
+
+// FindVersion returns the version with the given name.
+func (d *Document) FindVersion(id VersionID) (Version, bool) {
+	for _, v := range d.Versions {
+		if v.Version == id {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
+
+// FindOrganisation returns the organisation with the given name.
+func (d *Document) FindOrganisation(id OrganisationID) (Organisation, bool) {
+	for _, o := range d.Organisations {
+		if o.Organisation == id {
+			return o, true
+		}
+	}
+	return Organisation{}, false
+}
+
+// Authenticate returns the organisation that holds the key; it compares in constant time.
+func (d *Document) Authenticate(hash KeyHash) (Organisation, bool) {
+	found := -1
+	for i, o := range d.Organisations {
+		for _, k := range o.Keys {
+			if subtle.ConstantTimeCompare(k[:], hash[:]) == 1 {
+				found = i
+			}
+		}
+	}
+	if found < 0 {
+		return Organisation{}, false
+	}
+	return d.Organisations[found], true
+}
+
+// Allows reports whether the organisation may start work on the version;
+// a retiring version takes only work of sessions pinned to it.
+func (d *Document) Allows(org OrganisationID, id VersionID, pinned bool) bool {
+	o, ok := d.FindOrganisation(org)
+	if !ok {
+		return false
+	}
+	if d.Kind == KindPlain {
+		return true
+	}
+	v, ok := d.FindVersion(id)
+	if !ok || !slices.Contains(o.Versions, id) {
+		return false
+	}
+	return v.State == StateServing || v.State == StateRetiring && pinned
+}
+
+// ClassFor returns the first class of the priority, or a default one.
+func (d *Document) ClassFor(p Priority) Class {
+	for _, c := range d.Classes {
+		if c.Priority == p {
+			return c
+		}
+	}
+	return Class{Class: ClassID(p), Priority: p, Deadline: DefaultDeadline}
+}
+
+// DefaultDeadline bounds a request whose class names no deadline.
+const DefaultDeadline = 60 * time.Second
+
+// FindRoute returns the route with the longest matching prefix for a plain call;
+// an undeclared call is taken as not idempotent unless its method is GET or HEAD.
+func (d *Document) FindRoute(method, path string) Route {
+	best := Route{Route: "/", Method: method, Idempotent: method == "GET" || method == "HEAD"}
+	length := -1
+	for _, r := range d.Routes {
+		if r.Method == method && len(r.Route) > length && matchesPrefix(path, r.Route) {
+			best, length = r, len(r.Route)
+		}
+	}
+	return best
+}
+
+func matchesPrefix(path, prefix string) bool {
+	trimmed := strings.TrimSuffix(prefix, "/")
+	return path == trimmed || strings.HasPrefix(path, trimmed+"/")
+}
+
+// FindClass returns the class with the given name.
+func (d *Document) FindClass(id ClassID) Class {
+	for _, c := range d.Classes {
+		if c.Class == id {
+			return c
+		}
+	}
+	return d.ClassFor(PriorityNormal)
+}
--- /dev/null
+++ b/pkg/model/refusal.go
@@ -0,0 +1,105 @@
+package model
+
+import (
+	"fmt"
+	"time"
+)
+
+// Run says whether a refused request may have reached a backend server.
+type Run string
+
+// Values of Run.
+const (
+	RunNo      Run = "no"
+	RunUnknown Run = "unknown"
+	RunYes     Run = "yes"
+)
+
+// RefusalKind is the machine-readable reason of a refusal.
+type RefusalKind string
+
+// Kinds of refusal; docs/operators.md lists each with its remedy.
+const (
+	KindBadRequest    RefusalKind = "bad_request"
+	KindUnauthorized  RefusalKind = "unauthorized"
+	KindUnknownModel  RefusalKind = "unknown_model"
+	KindUnknownRoute  RefusalKind = "unknown_service"
+	KindTooLarge      RefusalKind = "too_large"
+	KindBadSession    RefusalKind = "bad_session"
+	KindWithdrawn     RefusalKind = "withdrawn"
+	KindOverLimit     RefusalKind = "over_limit"
+	KindOverload      RefusalKind = "overload"
+	KindDeadline      RefusalKind = "deadline"
+	KindNoBackend     RefusalKind = "no_backend"
+	KindStale         RefusalKind = "stale_configuration"
+	KindUnavailable   RefusalKind = "platform_unavailable"
+	KindKeyReused     RefusalKind = "key_reused"
+	KindKeyHeld       RefusalKind = "key_held"
+	KindQuarantined   RefusalKind = "quarantined"
+	KindLeaving       RefusalKind = "leaving"
+	KindCancelled     RefusalKind = "cancelled"
+	KindBroken        RefusalKind = "broken_answer"
+	KindBackendFailed RefusalKind = "backend_failed"
+	KindInternal      RefusalKind = "internal"
+)
+
+// Refusal is the one error shape that callers and the inner protocol carry.
+type Refusal struct {
+	Kind    RefusalKind   `json:"kind"`
+	Message string        `json:"message"`
+	Run     Run           `json:"run"`
+	Retry   time.Duration `json:"retry,omitempty"`
+	Request RequestID     `json:"request,omitempty"`
+}
+
+// Error returns kind and message.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Kind, r.Message) }
+
+// Refuse returns a refusal of a request that did not run.
+func Refuse(kind RefusalKind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: kind, Message: fmt.Sprintf(format, args...), Run: RunNo}
+}
+
+// WithRun returns a copy with another run state.
+func (r *Refusal) WithRun(run Run) *Refusal {
+	c := *r
+	c.Run = run
+	return &c
+}
+
+// WithRetry returns a copy that tells the caller when to try again.
+func (r *Refusal) WithRetry(after time.Duration) *Refusal {
+	c := *r
+	c.Retry = after
+	return &c
+}
+
+// Status returns the HTTP status code of the refusal.
+func (r *Refusal) Status() int {
+	switch r.Kind {
+	case KindBadRequest, KindBadSession:
+		return 400
+	case KindUnauthorized:
+		return 401
+	case KindUnknownModel, KindUnknownRoute:
+		return 404
+	case KindTooLarge:
+		return 413
+	case KindKeyReused, KindKeyHeld:
+		return 409
+	case KindWithdrawn:
+		return 410
+	case KindQuarantined:
+		return 422
+	case KindOverLimit:
+		return 429
+	case KindDeadline:
+		return 504
+	case KindBroken, KindBackendFailed:
+		return 502
+	case KindInternal:
+		return 500
+	default:
+		return 503
+	}
+}
--- /dev/null
+++ b/pkg/model/settings.go
@@ -0,0 +1,72 @@
+package model
+
+import "time"
+
+// Settings configures one process; each role reads the parts that it needs.
+type Settings struct {
+	Role     Role
+	Instance InstanceID
+	Place    Place
+	Service  ServiceID
+	Platform string
+	Rater    string
+	Peers    []string
+	Secret   string
+	Listen   Listen
+	Backend  Backend
+	TLS      TLSFiles
+	Limits   Limits
+	Ledger   LedgerSettings
+	Lease    time.Duration
+	Drain    DrainSettings
+	Log      LogSettings
+}
+
+// Listen holds the addresses of a process, each an IP number and port.
+type Listen struct {
+	Callers string
+	Work    string
+	Control string
+}
+
+// Backend describes the backend server beside an agent.
+type Backend struct {
+	URL         string
+	Kind        Kind
+	Concurrency int
+}
+
+// TLSFiles names the PEM files for the inner protocol; empty means no TLS.
+type TLSFiles struct {
+	Cert string
+	Key  string
+	CA   string
+}
+
+// Limits bounds what one caller can make a process hold.
+type Limits struct {
+	Body        Bytes
+	Header      Bytes
+	Time        time.Duration
+	Connections int
+	Keep        Bytes
+}
+
+// LedgerSettings configures the kept log.
+type LedgerSettings struct {
+	Shards int
+	Flush  time.Duration
+	Window time.Duration
+}
+
+// DrainSettings configures a planned stop.
+type DrainSettings struct {
+	Lag   time.Duration
+	Grace time.Duration
+}
+
+// LogSettings configures the structured log.
+type LogSettings struct {
+	Level string
+	Form  string
+}
--- /dev/null
+++ b/pkg/parser/document.go
@@ -0,0 +1,255 @@
+package parser
+
+import (
+	"encoding/hex"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+const (
+	defaultSessionTTL = 24 * time.Hour
+	defaultConfidence = 0.9
+	defaultHold       = 10 * time.Minute
+	maxWeight         = 1e6
+	maxConcurrency    = 1_000_000
+)
+
+// ParseDocument reads a service document; the error is a Faults with everything that is wrong.
+func ParseDocument(file string, data []byte) (*model.Document, error) {
+	r := &reader{file: file}
+	s := r.open(data)
+	if s == nil {
+		return nil, r.faults.sorted()
+	}
+	d := readDocument(s)
+	checkDocument(s, d)
+	if len(r.faults) > 0 {
+		return nil, r.faults.sorted()
+	}
+	return d, nil
+}
+
+func readDocument(s *section) *model.Document {
+	d := &model.Document{
+		Service:    required(s, "service", name[model.ServiceID]),
+		Kind:       required(s, "kind", oneOf(model.KindModel, model.KindPlain)),
+		Cutoff:     optional(s, "cutoff", model.FallbackRefuse, oneOf(model.FallbackServe, model.FallbackRefuse)),
+		Target:     optional(s, "target", 0, within[model.Quality](0, 1)),
+		Confidence: optional(s, "confidence", defaultConfidence, model.ParseShare),
+		Explore:    optional(s, "explore", 0, model.ParseShare),
+		Cascade:    optional(s, "cascade", false, boolean),
+		Egress:     optional(s, "egress", 0, model.ParseVolumePrice),
+		Session:    readSession(s.sub("session")),
+	}
+	for _, v := range s.sections("versions") {
+		d.Versions = append(d.Versions, readVersion(v))
+	}
+	for _, o := range s.sections("organisations") {
+		d.Organisations = append(d.Organisations, readOrganisation(o, d.Target))
+	}
+	for _, c := range s.sections("classes") {
+		d.Classes = append(d.Classes, readClass(c))
+	}
+	for _, route := range s.sections("routes") {
+		d.Routes = append(d.Routes, readRoute(route))
+	}
+	if rollout := s.sub("rollout"); rollout != nil {
+		d.Rollout = readRollout(rollout)
+	}
+	s.close("service", "kind", "cutoff", "target", "confidence", "explore", "cascade", "egress",
+		"session", "versions", "organisations", "classes", "routes", "rollout")
+	return d
+}
+
+func readSession(s *section) model.SessionRule {
+	rule := model.SessionRule{
+		TTL:       optional(s, "ttl", defaultSessionTTL, model.ParseDuration),
+		Withdrawn: optional(s, "withdrawn", model.FallbackRefuse, oneOf(model.FallbackRefuse, model.FallbackMove)),
+	}
+	s.close("ttl", "withdrawn")
+	return rule
+}
+
+func readVersion(s *section) model.Version {
+	v := model.Version{
+		Version:  required(s, "version", name[model.VersionID]),
+		Model:    required(s, "model", name[model.ModelID]),
+		State:    optional(s, "state", model.StateServing, oneOf(model.StateServing, model.StateRetiring, model.StateWithdrawn)),
+		Input:    required(s, "input", model.ParseTokenPrice),
+		Output:   required(s, "output", model.ParseTokenPrice),
+		Prior:    required(s, "prior", within[model.Quality](0, 1)),
+		Weight:   optional(s, "weight", 1, within[float64](0, maxWeight)),
+		Replicas: optional(s, "replicas", 0, whole(0, 100_000)),
+	}
+	s.close("version", "model", "state", "input", "output", "prior", "weight", "replicas")
+	return v
+}
+
+func readOrganisation(s *section, target model.Quality) model.Organisation {
+	o := model.Organisation{
+		Organisation: required(s, "organisation", name[model.OrganisationID]),
+		Keys:         list(s, "keys", keyHash),
+		Versions:     list(s, "versions", name[model.VersionID]),
+		Target:       optional(s, "target", target, within[model.Quality](0, 1)),
+		Rate:         optional(s, "rate", 0, model.ParseRate),
+		Concurrency:  optional(s, "concurrency", 0, whole(1, maxConcurrency)),
+		Priority:     optional(s, "priority", model.PriorityHigh, oneOf(model.PriorityHigh, model.PriorityNormal, model.PriorityBatch)),
+		Weight:       optional(s, "weight", 1, within[float64](0.01, maxWeight)),
+	}
+	s.close("organisation", "keys", "versions", "target", "rate", "concurrency", "priority", "weight")
+	return o
+}
+
+func readClass(s *section) model.Class {
+	c := model.Class{
+		Class:    required(s, "class", name[model.ClassID]),
+		Priority: required(s, "priority", oneOf(model.PriorityHigh, model.PriorityNormal, model.PriorityBatch)),
+		Deadline: optional(s, "deadline", model.DefaultDeadline, model.ParseDuration),
+	}
+	s.close("class", "priority", "deadline")
+	return c
+}
+
+func readRoute(s *section) model.Route {
+	r := model.Route{
+		Route:      required(s, "route", routePath),
+		Method:     required(s, "method", oneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")),
+		Class:      optional(s, "class", "", name[model.ClassID]),
+		Idempotent: required(s, "idempotent", boolean),
+	}
+	s.close("route", "method", "class", "idempotent")
+	return r
+}
+
+func readRollout(s *section) *model.Rollout {
+	r := &model.Rollout{
+		Version: required(s, "version", name[model.VersionID]),
+		Against: required(s, "against", name[model.VersionID]),
+		Steps:   list(s, "steps", model.ParseShare),
+		Hold:    optional(s, "hold", defaultHold, model.ParseDuration),
+		Attempt: optional(s, "attempt", 1, whole(1, 1_000_000)),
+	}
+	if len(r.Steps) == 0 {
+		s.missing("steps", "add rising percentages, such as [1%, 10%, 50%, 100%]")
+	}
+	if !slices.IsSorted(r.Steps) {
+		s.missing("steps", "order the steps so that they rise")
+	}
+	s.close("version", "against", "steps", "hold", "attempt")
+	return r
+}
+
+func keyHash(s string) (model.KeyHash, error) {
+	const advice = "write sha256: and 64 hexadecimal digits, as printed by 'bramleyhinge check --hash'"
+	digits, ok := strings.CutPrefix(s, "sha256:")
+	if !ok {
+		return model.KeyHash{}, remedy("", advice)
+	}
+	b, err := hex.DecodeString(digits)
+	if err != nil || len(b) != len(model.KeyHash{}) {
+		return model.KeyHash{}, remedy("", advice)
+	}
+	return model.KeyHash(b), nil
+}
+
+func routePath(s string) (string, error) {
+	if !strings.HasPrefix(s, "/") || len(s) > 1024 || strings.ContainsAny(s, "?# ") {
+		return "", remedy(s, "write a path that starts with '/', without query or spaces")
+	}
+	return s, nil
+}
+
+// checkDocument checks what spans several keys.
+func checkDocument(s *section, d *model.Document) {
+	checkVersions(s, d)
+	checkOrganisations(s, d)
+	checkClasses(s, d)
+	checkRollout(s, d)
+}
+
+func checkVersions(s *section, d *model.Document) {
+	if d.Kind == model.KindModel && len(d.Versions) == 0 {
+		s.missing("versions", "add at least one version")
+	}
+	if d.Kind == model.KindPlain && len(d.Versions) > 0 {
+		s.r.fault(s.fields["versions"], "versions", "", "remove the versions; a plain service has none")
+	}
+	if d.Kind == model.KindModel && len(d.Routes) > 0 {
+		s.r.fault(s.fields["routes"], "routes", "", "remove the routes; only a plain service has them")
+	}
+	seen := map[model.VersionID]bool{}
+	for _, v := range d.Versions {
+		if seen[v.Version] {
+			s.r.fault(s.fields["versions"], "versions", string(v.Version), "name each version once")
+		}
+		seen[v.Version] = true
+	}
+}
+
+func checkOrganisations(s *section, d *model.Document) {
+	if len(d.Organisations) == 0 {
+		s.missing("organisations", "add at least one organisation")
+	}
+	names := map[model.OrganisationID]bool{}
+	keys := map[model.KeyHash]bool{}
+	for _, o := range d.Organisations {
+		if names[o.Organisation] {
+			s.r.fault(s.fields["organisations"], "organisations", string(o.Organisation), "name each organisation once")
+		}
+		names[o.Organisation] = true
+		if len(o.Keys) == 0 {
+			s.r.fault(s.fields["organisations"], "organisations.keys", string(o.Organisation), "add at least one key hash")
+		}
+		for _, k := range o.Keys {
+			if keys[k] {
+				s.r.fault(s.fields["organisations"], "organisations.keys", string(o.Organisation), "give each organisation keys of its own")
+			}
+			keys[k] = true
+		}
+		checkOrganisationVersions(s, d, o)
+	}
+}
+
+func checkOrganisationVersions(s *section, d *model.Document, o model.Organisation) {
+	if d.Kind == model.KindModel && len(o.Versions) == 0 {
+		s.r.fault(s.fields["organisations"], "organisations.versions", string(o.Organisation), "list the versions that this organisation may use")
+	}
+	for _, id := range o.Versions {
+		if _, ok := d.FindVersion(id); !ok {
+			s.r.fault(s.fields["organisations"], "organisations.versions", string(id), "name a version of this document")
+		}
+	}
+}
+
+func checkClasses(s *section, d *model.Document) {
+	seen := map[model.ClassID]bool{}
+	for _, c := range d.Classes {
+		if seen[c.Class] {
+			s.r.fault(s.fields["classes"], "classes", string(c.Class), "name each class once")
+		}
+		seen[c.Class] = true
+	}
+	for _, r := range d.Routes {
+		if r.Class != "" && !seen[r.Class] {
+			s.r.fault(s.fields["routes"], "routes.class", string(r.Class), "name a class of this document")
+		}
+	}
+}
+
+func checkRollout(s *section, d *model.Document) {
+	if d.Rollout == nil {
+		return
+	}
+	for _, id := range []model.VersionID{d.Rollout.Version, d.Rollout.Against} {
+		v, ok := d.FindVersion(id)
+		if !ok || v.State != model.StateServing {
+			s.r.fault(s.fields["rollout"], "rollout", string(id), "name a serving version of this document")
+		}
+	}
+	if d.Rollout.Version == d.Rollout.Against {
+		s.r.fault(s.fields["rollout"], "rollout.against", string(d.Rollout.Against), "compare with another version")
+	}
+}
