Prove at most once and whole answers with cut, frozen and killed processes

(1) A request that may have run on a first agent was refused as 'run: no' when no second agent was left, because the last refusal was told to the caller. (2) A resend with a key said 'run: no' while no agent was reachable, although the key's first request had run.

Ruled out: the agent's own word; it said 'unknown' in each case.

--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,11 +28,12 @@
 
 // testFleet is the set of processes that one script drives.
 type testFleet struct {
-	procs   map[string]*proc
-	masks   map[string]string
-	masked  map[string]int
-	results map[string]chan string
-	mu      sync.Mutex
+	procs    map[string]*proc
+	masks    map[string]string
+	masked   map[string]int
+	results  map[string]chan string
+	forwards map[string]*forwarder
+	mu       sync.Mutex
 }
 
 // proc is one process of the script.
@@ -49,24 +51,48 @@
 type fleetKey struct{}
 
 func setupFleet(env *testscript.Env) error {
-	f := &testFleet{procs: map[string]*proc{}, masks: map[string]string{}, masked: map[string]int{}, results: map[string]chan string{}}
+	f := &testFleet{procs: map[string]*proc{}, masks: map[string]string{}, masked: map[string]int{}, results: map[string]chan string{}, forwards: map[string]*forwarder{}}
 	env.Values[fleetKey{}] = f
 	env.Setenv(secretVariable, testSecret)
+	if err := os.CopyFS(env.WorkDir, os.DirFS("testdata/docs")); err != nil {
+		return err
+	}
 	env.Defer(func() {
 		for _, p := range f.procs {
 			p.signal(syscall.SIGKILL)
 		}
+		for _, w := range f.forwards {
+			w.listener.Close()
+		}
 	})
 	return nil
 }
 
 func fleetOf(ts *testscript.TestScript) *testFleet { return ts.Value(fleetKey{}).(*testFleet) }
 
+// Ports of scripts lie below the range that the system gives to outgoing connections, so
+// that none is taken between its choice and its use.
+const (
+	lowestPort  = 12_000
+	highestPort = 32_000
+)
+
+var usedPorts sync.Map
+
 func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.N(highestPort-lowestPort))
+		if _, used := usedPorts.LoadOrStore(addr, true); used {
+			continue
+		}
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			l.Close()
+			return addr
+		}
+	}
+	ts.Fatalf("no free port")
+	return ""
 }
 
 // startAll reads one process a line: KIND NAME [OPTION=VALUE ...], and starts all in order.
@@ -83,7 +109,9 @@
 			opts[k] = v
 		}
 		f.define(ts, fields[0], fields[1], opts)
-		names = append(names, fields[1])
+		if fields[0] != "forward" {
+			names = append(names, fields[1])
+		}
 	}
 	for _, n := range names {
 		f.start(ts, n)
@@ -108,6 +136,9 @@
 		if opts["fencing"] == "true" {
 			p.args = append(p.args, "--fencing")
 		}
+	case "forward":
+		f.forwards[name] = newForwarder(ts, p.addr)
+		delete(f.procs, name)
 	case "plain", "rater":
 		p.args = []string{"standin", "--listen", p.addr, kind}
 	default:
@@ -121,7 +152,14 @@
 	p.row = model.Instance{Instance: model.InstanceID(p.name), Role: model.Role(p.kind), Control: p.control, Place: place}
 	var b strings.Builder
 	fmt.Fprintf(&b, "role: %s\ninstance: %s\nplace: {region: %s, domain: %s}\n", p.kind, p.name, place.Region, place.Domain)
-	fmt.Fprintf(&b, "platform: %s\nsecret: env:%s\n", ts.Getenv("BRAMLEYHINGE_PLATFORM"), secretVariable)
+	platform := f.procs["platform"].addr
+	if w := f.forwards[opts["platform"]]; w != nil {
+		platform = w.forwardTo(platform)
+	}
+	if w := f.forwards[opts["control"]]; w != nil {
+		p.row.Control = w.forwardTo(p.control)
+	}
+	fmt.Fprintf(&b, "platform: http://%s\nsecret: env:%s\n", platform, secretVariable)
 	fmt.Fprintf(&b, "drain: {lag: 300ms, grace: 30s}\nlog: {level: debug}\n")
 	if body := opts["body"]; body != "" {
 		fmt.Fprintf(&b, "limits: {body: %s}\n", body)
@@ -141,6 +179,9 @@
 			kind = model.KindModel
 		}
 		p.row.Work, p.row.Service = p.addr, model.ServiceID(opts["service"])
+		if w := f.forwards[opts["work"]]; w != nil {
+			p.row.Work = w.forwardTo(p.addr)
+		}
 		fmt.Fprintf(&b, "listen: {work: '%s', control: '%s'}\nservice: %s\n", p.addr, p.control, opts["service"])
 		fmt.Fprintf(&b, "backend: {url: 'http://%s', kind: %s, concurrency: %s}\n", backend.addr, kind, or(opts["concurrency"], "16"))
 	}
@@ -304,6 +345,9 @@
 	r, err := http.NewRequest(method, "http://"+f.procs[name].addr+path, strings.NewReader(body))
 	ts.Check(err)
 	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		f.dumpLogs(ts)
+	}
 	ts.Check(err)
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
@@ -336,3 +380,21 @@
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), bytes.ReplaceAll([]byte(old), []byte(args[1]), []byte(args[2])), 0o600))
 }
+
+// sums prints how often all plain services together ran calls with a body.
+func (f *testFleet) sums(ts *testscript.TestScript, body string) {
+	total := 0
+	for name, p := range f.procs {
+		if p.kind != "plain" {
+			continue
+		}
+		var counts map[string]int
+		ts.Check(json.Unmarshal([]byte(f.request(ts, http.MethodGet, name, "/counts", "")), &counts))
+		for call, n := range counts {
+			if strings.HasSuffix(call, " "+body) {
+				total += n
+			}
+		}
+	}
+	fmt.Fprintln(ts.Stdout(), total)
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -139,12 +139,9 @@
 // Size implements metrics.Sample.
 func (s *sample) Size() int { return int(s.Count()) }
 
-// Snapshot implements metrics.Sample.
-func (s *sample) Snapshot() metrics.Sample {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return &sample{h: hdrhistogram.Import(s.h.Export())}
-}
+// Snapshot implements metrics.Sample. The library's own histogram takes only its own kind
+// of snapshot, so readers use the locked sample itself.
+func (s *sample) Snapshot() metrics.Sample { return metrics.NilSample{} }
 
 // StdDev implements metrics.Sample.
 func (s *sample) StdDev() float64 { s.mu.Lock(); defer s.mu.Unlock(); return s.h.StdDev() }
@@ -180,7 +177,7 @@
 		case metrics.Gauge:
 			lines = append(lines, counterLine(name, metric.Value()))
 		case metrics.Histogram:
-			lines = append(lines, histogramLines(name, metric.Snapshot())...)
+			lines = append(lines, histogramLines(name, metric)...)
 		}
 	})
 	slices.Sort(lines)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -68,10 +68,11 @@
 func (e *Entry) attempts(c *call, s step, out sink) (*outcome, *model.Refusal) {
 	excluded := map[model.InstanceID]string{}
 	e.budget.first()
+	var ran *model.Refusal
 	for n := 1; ; n++ {
 		t, refusal := e.pick(c, s.version, excluded, time.Now())
 		if refusal != nil {
-			return nil, refusal
+			return nil, worse(ran, refusal)
 		}
 		s.id = model.RequestID(string(s.bill) + "." + string(s.version) + "." + strconv.Itoa(n))
 		res, refusal := e.runOn(c, s, t, out)
@@ -79,13 +80,26 @@
 			return res, nil
 		}
 		c.note(explainer.Step{What: "refused by " + string(t.instance.Instance), Why: refusal.Error() + " (run: " + string(refusal.Run) + ")"})
+		ran = worse(ran, refusal)
 		if !e.mayRetry(c, refusal, out, n) {
-			return nil, refusal
+			return nil, ran
 		}
 		excluded[t.instance.Instance] = "refused: " + string(refusal.Kind)
 	}
 }
 
+// worse returns the refusal to tell the caller: once an attempt may have run, no later
+// attempt's "not run" is true of the request.
+func worse(earlier, later *model.Refusal) *model.Refusal {
+	if earlier == nil || earlier.Run == model.RunNo {
+		return later
+	}
+	if later.Run == model.RunNo || earlier.Run == model.RunYes {
+		return earlier
+	}
+	return later
+}
+
 // mayRetry allows another attempt only if the request did not run, or may run twice, and
 // the caller has seen nothing.
 func (e *Entry) mayRetry(c *call, r *model.Refusal, out sink, n int) bool {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -29,6 +29,9 @@
 	var claimed *model.Claim
 	for range claimTries {
 		t, refusal := e.pick(c, d.Version, excluded, time.Now())
+		if refusal != nil && claimed == nil {
+			return e.lookBack(c, key, refusal, d, w)
+		}
 		if refusal != nil {
 			return e.release(c, key, claimed, last, refusal)
 		}
@@ -52,6 +55,18 @@
 	return e.release(c, key, claimed, last, last)
 }
 
+// lookBack serves a key while no agent can take work: an earlier request may have it.
+func (e *Entry) lookBack(c *call, key model.RecordKey, refusal *model.Refusal, d chooser.Decision, w http.ResponseWriter) *model.Refusal {
+	held, err := e.cfg.Records.Lookup(c.ctx, key)
+	if err != nil {
+		return refusal.WithRun(model.RunUnknown)
+	}
+	if held.Granted {
+		return e.attach(c, key, held, d, w)
+	}
+	return refusal
+}
+
 // claim asks the ledger for the key; held is what stands if another request has it.
 func (e *Entry) claim(c *call, key model.RecordKey, claim *model.Claim) (held *model.Outcome, refusal *model.Refusal) {
 	r := model.Record{Kind: model.RecordClaim, Key: key, Request: c.id, Claim: claim}
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -138,8 +138,17 @@
 	e.cfg.Meter.Gauge("agents", e.fleet.size())
 }
 
+// size counts the agents that can take work.
 func (f *fleet) size() int {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	return len(f.peers)
+	n := 0
+	for _, p := range f.peers {
+		p.mu.Lock()
+		if p.known && p.load.Limit > 0 && !p.load.Leaving {
+			n++
+		}
+		p.mu.Unlock()
+	}
+	return n
 }
