--- a/internal/cli/caller_test.go
+++ b/internal/cli/caller_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,8 +11,12 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/recorder"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 )
 
 // callSpec is one request of a script:
@@ -162,3 +167,37 @@
 	}
 	return s
 }
+
+// billed waits until the usage report counts a number of requests for "SERVICE ORGANISATION".
+func (f *testFleet) billed(ts *testscript.TestScript, who, want string) {
+	got := ""
+	f.until(ts, "billed "+who+" "+want, func() bool {
+		store := storer.NewClient(storer.ClientConfig{URL: ts.Getenv("BRAMLEYHINGE_PLATFORM")})
+		totals, err := recorder.Totals(context.Background(), store, 8, 24*time.Hour)
+		if err != nil {
+			return false
+		}
+		for k, t := range totals {
+			if string(k.Service)+" "+string(k.Organisation) == who {
+				got = fmt.Sprint(t.Requests)
+			}
+		}
+		return got == want
+	})
+}
+
+var versionLine = regexp.MustCompile(`(?m)^< Bramleyhinge-Version: (.+)$`)
+
+// versions prints how many versions answered the requests of a session.
+func versions(ts *testscript.TestScript, session string) {
+	seen := map[string]bool{}
+	answers := 0
+	for part := range strings.SplitSeq(ts.ReadFile("session.txt"), "\n> POST") {
+		m := versionLine.FindStringSubmatch(part)
+		if m != nil && strings.Contains(part, "> Bramleyhinge-Session: "+session) {
+			seen[m[1]] = true
+			answers++
+		}
+	}
+	fmt.Fprintf(ts.Stdout(), "%d version in %d answers\n", len(seen), answers)
+}
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -140,7 +140,7 @@
 
 // Ready reports whether callers should be sent here.
 func (e *Entry) Ready(now time.Time) bool {
-	return !e.leaving.Load() && e.cfg.Watcher.Ready() && e.cfg.Watcher.Standing(now) != watcher.StandingCutOff
+	return !e.leaving.Load() && e.cfg.Watcher.Ready() && e.fleet.settled() && e.cfg.Watcher.Standing(now) != watcher.StandingCutOff
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -34,6 +34,7 @@
 // fleet is this entry's view of the agents that it may send work to.
 type fleet struct {
 	cfg   fleetConfig
+	begun bool
 	mu    sync.RWMutex
 	peers map[model.InstanceID]*peer
 }
@@ -44,6 +45,7 @@
 	instance model.Instance
 	load     model.Load
 	known    bool
+	tried    bool
 	open     int
 	sent     int
 	done     int
@@ -65,6 +67,9 @@
 }
 
 func (f *fleet) update(ctx context.Context) {
+	if !f.cfg.Watcher.Ready() {
+		return
+	}
 	wanted := map[model.InstanceID]model.Instance{}
 	view := f.cfg.Watcher.View()
 	for service := range f.cfg.Watcher.Catalogue().Services {
@@ -74,6 +79,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.begun = true
 	for id, p := range f.peers {
 		row, ok := wanted[id]
 		if !ok || row.Control != p.instance.Control || row.Work != p.instance.Work {
@@ -118,16 +124,31 @@
 	}
 }
 
+// settled reports whether every agent of the subset has been asked for its load once.
+func (f *fleet) settled() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, p := range f.peers {
+		p.mu.Lock()
+		tried := p.tried
+		p.mu.Unlock()
+		if !tried {
+			return false
+		}
+	}
+	return f.begun
+}
+
 func (p *peer) lost() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.known = false
+	p.known, p.tried = false, true
 }
 
 func (p *peer) report(load model.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.load, p.known = load, true
+	p.load, p.known, p.tried = load, true, true
 	p.sent, p.done = 0, 0
 }
 
