Prove leaving, planned stops, fencing, quarantine and permission

Cause: five promises had mechanisms and no proof.

Change: scripts leaving (notice from the list alone, frozen while leaving, rolling stop of every entry and agent under streams), allowed (crafted names, document edited while a request waits in the agent's queue, agent behind the entry, wrong input), fencing (owner frozen past its lease, next owner acts, old one resumes, engine that ignores fencing numbers, agent restarted), poison (one request sent eleven times, two innocents in flight).

--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -33,6 +33,8 @@
 	masked   map[string]int
 	results  map[string]chan string
 	forwards map[string]*forwarder
+	frozen   string
+	loads    loadState
 	mu       sync.Mutex
 }
 
@@ -367,6 +369,9 @@
 
 // await repeats a GET until its answer contains a text, or with ! no longer does.
 func (f *testFleet) await(ts *testscript.TestScript, neg bool, args []string) {
+	if args[0] == "!" {
+		neg, args = true, args[1:]
+	}
 	f.until(ts, strings.Join(args, " "), func() bool {
 		return strings.Contains(f.request(ts, http.MethodGet, args[0], args[1], ""), args[2]) != neg
 	})
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 
@@ -24,24 +25,29 @@
 		RequireExplicitExec: true,
 		Setup:               setupFleet,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).startAll(ts, args[0]) },
-			"call":     func(ts *testscript.TestScript, neg bool, args []string) { fleetOf(ts).call(ts, neg, args) },
-			"result":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).result(ts, args[0]) },
-			"fault":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).fault(ts, args[0], args[1]) },
-			"look":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).look(ts, args[0], args[1]) },
-			"await":    func(ts *testscript.TestScript, neg bool, args []string) { fleetOf(ts).await(ts, neg, args) },
-			"start":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).start(ts, args[0]) },
-			"ready":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).ready(ts, args[0]) },
-			"drain":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).stop(ts, args[0]) },
-			"crash":    func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).kill(ts, args[0]) },
-			"freeze":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).freeze(ts, args[0]) },
-			"thaw":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).thaw(ts, args[0]) },
-			"row":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).row(ts, args[0], args[1]) },
-			"cut":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).cut(ts, args[0], args[1]) },
-			"sums":     func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).sums(ts, args[0]) },
-			"billed":   func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).billed(ts, args[0], args[1]) },
-			"versions": func(ts *testscript.TestScript, _ bool, args []string) { versions(ts, args[0]) },
-			"edit":     editFile,
+			"fleet":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).startAll(ts, args[0]) },
+			"call":        func(ts *testscript.TestScript, neg bool, args []string) { fleetOf(ts).call(ts, neg, args) },
+			"result":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).result(ts, args[0]) },
+			"fault":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).fault(ts, args[0], args[1]) },
+			"look":        func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).look(ts, args[0], args[1]) },
+			"await":       func(ts *testscript.TestScript, neg bool, args []string) { fleetOf(ts).await(ts, neg, args) },
+			"start":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).start(ts, args[0]) },
+			"ready":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).ready(ts, args[0]) },
+			"drain":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).stop(ts, args[0]) },
+			"crash":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).kill(ts, args[0]) },
+			"freeze":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).freeze(ts, args[0]) },
+			"thaw":        func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).thaw(ts, args[0]) },
+			"row":         func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).row(ts, args[0], args[1]) },
+			"cut":         func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).cut(ts, args[0], args[1]) },
+			"sums":        func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).sums(ts, args[0]) },
+			"billed":      func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).billed(ts, args[0], args[1]) },
+			"versions":    func(ts *testscript.TestScript, _ bool, args []string) { versions(ts, args[0]) },
+			"alive":       func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).alive(ts, args) },
+			"owner":       func(ts *testscript.TestScript, _ bool, _ []string) { fmt.Fprintln(ts.Stdout(), fleetOf(ts).owner(ts)) },
+			"freezeowner": func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).freezeOwner(ts) },
+			"thawowner":   func(ts *testscript.TestScript, _ bool, _ []string) { fleetOf(ts).thaw(ts, fleetOf(ts).frozen) },
+			"load":        func(ts *testscript.TestScript, _ bool, args []string) { fleetOf(ts).load(ts, args) },
+			"edit":        editFile,
 		},
 	})
 }
