Check decisions and formats by tables, random histories and fuzz seeds

Cause: the scripts cover few interleavings, and bad input had no table of messages.

Found: session tokens had more than one valid form, because base64 was not strict; it is now. Two faults could not be induced and now can: a stream that ends in good order without its closing event, and reads that are stale by more than the moment.

--- /dev/null
+++ b/internal/limiter/split_test.go
@@ -0,0 +1,74 @@
+package limiter
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// TestSplit checks that grants add up to the limit, that a silent entry keeps its even
+// share, and that nobody gets less than it asked while another gets more than it asked.
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0, 1000).Draw(t, "limit")
+		var entries []model.InstanceID
+		demand := map[model.InstanceID]float64{}
+		for i := range rapid.IntRange(1, 12).Draw(t, "entries") {
+			e := model.InstanceID(fmt.Sprint("n", i))
+			entries = append(entries, e)
+			if rapid.Bool().Draw(t, "reports") {
+				demand[e] = rapid.Float64Range(0, 500).Draw(t, "demand")
+			}
+		}
+		grants := Split(limit, entries, demand)
+		sum, asked, reporting := 0.0, 0.0, 0
+		for _, e := range entries {
+			sum += grants[e]
+			if d, ok := demand[e]; ok {
+				reporting++
+				asked += d
+			} else if math.Abs(grants[e]-limit/float64(len(entries))) > 1e-6 {
+				t.Fatalf("silent entry got %v of %v", grants[e], limit)
+			}
+		}
+		if sum > limit+1e-6 {
+			t.Fatalf("granted %v of %v", sum, limit)
+		}
+		rest := limit * float64(reporting) / float64(len(entries))
+		for e, d := range demand {
+			if asked <= rest && grants[e] < d-1e-6 {
+				t.Fatalf("%s got %v of %v although %v would do for all", e, grants[e], d, rest)
+			}
+		}
+	})
+}
+
+// TestGrantRunsOut checks that an entry whose owner is silent falls back to its even share.
+func TestGrantRunsOut(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := New()
+	k := Key{"s", "o"}
+	org := model.Organisation{Organisation: "o", Concurrency: 10}
+	l.Grant(k, model.Grant{Concurrency: 8}, now.Add(time.Second), now)
+	admitted := func(at time.Time) int {
+		n := 0
+		for l.Admit(k, org, 5, at) == nil {
+			n++
+		}
+		for range n {
+			l.Release(k)
+		}
+		return n
+	}
+	if got := admitted(now); got != 8 {
+		t.Errorf("admitted %d with a grant of 8", got)
+	}
+	if got := admitted(now.Add(2 * time.Second)); got != 2 {
+		t.Errorf("admitted %d after the grant, want an even share of 2", got)
+	}
+}
--- /dev/null
+++ b/internal/messenger/assembly_test.go
@@ -0,0 +1,83 @@
+package messenger
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+func answerFrames(id model.RequestID, parts int) []Frame {
+	digest := xxhash.New()
+	frames := []Frame{{Request: id, Seq: 0, Kind: FrameHead, Status: 200}}
+	for i := range parts {
+		data := fmt.Appendf(nil, "%s part %d", id, i)
+		digest.Write(data)
+		frames = append(frames, Frame{Request: id, Seq: i + 1, Kind: FramePart, Data: data})
+	}
+	return append(frames, Frame{Request: id, Seq: parts + 1, Kind: FrameEnd, End: &End{Frames: parts + 1, Digest: digest.Sum64()}})
+}
+
+// TestAssemblyNeverLies delivers frames duplicated, dropped, reordered, crossed and
+// changed: an answer that is accepted as whole is the one that was sent.
+func TestAssemblyNeverLies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own := answerFrames("own", rapid.IntRange(0, 6).Draw(t, "parts"))
+		other := answerFrames("other", 3)
+		var got []byte
+		a := NewAssembly("own")
+		for range rapid.IntRange(0, 30).Draw(t, "frames") {
+			f := own[rapid.IntRange(0, len(own)-1).Draw(t, "frame")]
+			switch rapid.IntRange(0, 9).Draw(t, "fault") {
+			case 0:
+				f = rapid.SampledFrom(other).Draw(t, "other")
+			case 1:
+				f.Data = append([]byte("x"), f.Data...)
+			case 2, 3, 4, 5:
+				f = own[min(a.Next(), len(own)-1)]
+			}
+			fresh, err := a.Accept(f)
+			if err != nil {
+				return
+			}
+			if fresh {
+				got = append(got, f.Data...)
+			}
+		}
+		var want []byte
+		for _, f := range own {
+			want = append(want, f.Data...)
+		}
+		if a.Done() && !bytes.Equal(want, got) {
+			t.Fatalf("accepted %q for %q", got, want)
+		}
+	})
+}
+
+func FuzzFrames(f *testing.F) {
+	b, err := json.Marshal(answerFrames("own", 2)[0])
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte(`{"request":"own","seq":0,"kind":"end","end":{}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := NewFrameReader(io.NopCloser(bytes.NewReader(data)))
+		a := NewAssembly("own")
+		for {
+			frame, err := r.Next()
+			if err != nil {
+				return
+			}
+			if _, err := a.Accept(frame); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/recorder/compact.go
+++ b/internal/recorder/compact.go
@@ -19,7 +19,7 @@
 	if s.current == nil {
 		return
 	}
-	if len(s.current.segments) >= compactAfter {
+	if len(s.current.segments) >= s.cfg.Compact {
 		err := s.compact(ctx, now)
 		if errors.Is(err, errSuperseded) {
 			s.current = nil
--- a/internal/recorder/ledger.go
+++ b/internal/recorder/ledger.go
@@ -21,7 +21,9 @@
 	Shards int
 	Flush  time.Duration
 	Window time.Duration
-	Log    zerolog.Logger
+	// Compact is the number of segments that a chunk replaces; 0 means the default.
+	Compact int
+	Log     zerolog.Logger
 }
 
 // Ledger writes the shards for which this entry is asked; any entry may write any shard.
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,178 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/standin"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// history is a plain model of the ledger: what was granted, in order.
+type history struct {
+	holders map[model.RecordKey]model.RequestID
+	done    map[model.RecordKey]bool
+	billed  map[model.RecordKey]int
+	pins    map[model.RecordKey]model.VersionID
+}
+
+// TestHistories runs random histories of several writers of one shard on a platform that
+// fails and loses answers, with pauses and compaction, against the plain model.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		platform := standin.NewPlatform()
+		now := epoch
+		writers := make([]*shard, 3)
+		for i := range writers {
+			writers[i] = newShard(0, Config{
+				Self: model.InstanceID(fmt.Sprint("w", i)), Store: platform, Window: time.Hour, Compact: 4, Log: zerolog.Nop(),
+			})
+		}
+		h := history{map[model.RecordKey]model.RequestID{}, map[model.RecordKey]bool{}, map[model.RecordKey]int{}, map[model.RecordKey]model.VersionID{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"append": func(t *rapid.T) {
+				w := rapid.SampledFrom(writers).Draw(t, "writer")
+				records := rapid.SliceOfN(rapid.Custom(drawRecord), 1, 4).Draw(t, "records")
+				now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second)
+				outcomes, err := appendNow(w, records, now)
+				if err != nil {
+					return
+				}
+				for i, r := range records {
+					h.check(t, r, outcomes[i])
+				}
+			},
+			"lose answers": func(t *rapid.T) {
+				platform.SetFaults(standin.PlatformFaults{Lost: rapid.IntRange(1, 3).Draw(t, "n")})
+			},
+			"recover": func(*rapid.T) { platform.SetFaults(standin.PlatformFaults{}) },
+			"pause past the retention": func(t *rapid.T) {
+				w := rapid.SampledFrom(writers).Draw(t, "writer")
+				w.headAt = w.headAt.Add(-2 * retention)
+			},
+			"tidy late": func(t *rapid.T) {
+				w := rapid.SampledFrom(writers).Draw(t, "writer")
+				for _, other := range writers {
+					if other != w {
+						other.headAt = other.headAt.Add(-2 * retention)
+					}
+				}
+				w.tidy(context.Background(), now.Add(2*retention))
+			},
+			"restart": func(t *rapid.T) { rapid.SampledFrom(writers).Draw(t, "writer").current = nil },
+		})
+		h.compare(t, platform)
+	})
+}
+
+func drawRecord(t *rapid.T) model.Record {
+	n := rapid.IntRange(0, 2).Draw(t, "key")
+	request := model.RequestID(fmt.Sprint("r", rapid.IntRange(0, 3).Draw(t, "request")))
+	claim := &model.Claim{Agent: "a"}
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return model.Record{Kind: model.RecordClaim, Key: model.RecordKey(fmt.Sprint("claim/", n)), Request: request, Claim: claim}
+	case 1:
+		return model.Record{Kind: model.RecordDone, Key: model.RecordKey(fmt.Sprint("claim/", n)), Request: request, Answer: &model.Answer{}}
+	case 2:
+		return model.Record{Kind: model.RecordRelease, Key: model.RecordKey(fmt.Sprint("claim/", n)), Request: request, Claim: claim}
+	case 3:
+		usage := &model.Usage{Organisation: "o", Service: "s", Cost: 1}
+		return model.Record{Kind: model.RecordUsage, Key: model.RecordKey(fmt.Sprint("usage/", n)), Request: request, Usage: usage}
+	default:
+		version := model.VersionID(fmt.Sprint("v", rapid.IntRange(0, 3).Draw(t, "version")))
+		return model.Record{Kind: model.RecordPin, Key: model.RecordKey(fmt.Sprint("pin/", n)), Pin: &model.Pin{Version: version}}
+	}
+}
+
+// appendNow commits one group at a given time.
+func appendNow(s *shard, records []model.Record, now time.Time) ([]model.Outcome, error) {
+	w := &waiter{records: records, done: make(chan struct{})}
+	s.pending = append(s.pending, w)
+	s.commitPending(context.Background(), now)
+	return w.outcomes, w.err
+}
+
+// check compares one outcome with the model and takes it over.
+func (h *history) check(t *rapid.T, r model.Record, o model.Outcome) {
+	holder, held := h.holders[r.Key]
+	switch r.Kind {
+	case model.RecordClaim:
+		if o.Granted && held && holder != r.Request {
+			t.Fatalf("claim %s granted to %s while %s holds it", r.Key, r.Request, holder)
+		}
+		if o.Granted && h.done[r.Key] {
+			t.Fatalf("claim %s granted after it was done", r.Key)
+		}
+		if o.Granted {
+			h.holders[r.Key] = r.Request
+		}
+	case model.RecordDone:
+		if o.Granted {
+			h.done[r.Key] = true
+		}
+	case model.RecordRelease:
+		if o.Granted && holder != r.Request {
+			t.Fatalf("%s released the claim of %s", r.Request, holder)
+		}
+		if o.Granted {
+			delete(h.holders, r.Key)
+		}
+	case model.RecordUsage:
+		if o.Granted {
+			h.billed[r.Key]++
+		}
+		if h.billed[r.Key] != 1 {
+			t.Fatalf("usage %s billed %d times", r.Key, h.billed[r.Key])
+		}
+	case model.RecordPin:
+		v := o.Record.Pin.Version
+		if old, ok := h.pins[r.Key]; ok && old != v {
+			t.Fatalf("pin %s changed from %s to %s", r.Key, old, v)
+		}
+		h.pins[r.Key] = v
+	}
+}
+
+// compare rebuilds the state from the platform and compares the bill.
+func (h *history) compare(t *rapid.T, p *standin.Platform) {
+	p.SetFaults(standin.PlatformFaults{})
+	totals, err := Totals(context.Background(), p, 1, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	for _, total := range totals {
+		got += total.Requests
+	}
+	if diff := cmp.Diff(len(h.billed), got); diff != "" {
+		t.Fatalf("bill differs (-want +got):\n%s", diff)
+	}
+}
+
+// TestWritesDoNotGrowWithRequests counts the platform's writes for ever more records that
+// wait at the same time.
+func TestWritesDoNotGrowWithRequests(t *testing.T) {
+	got := map[int]int{}
+	for _, n := range []int{1, 10, 100} {
+		platform := standin.NewPlatform()
+		s := newShard(0, Config{Self: "w", Store: platform, Window: time.Hour, Log: zerolog.Nop()})
+		for i := range n {
+			r := model.Record{Kind: model.RecordUsage, Key: model.RecordKey(fmt.Sprint(i)), Usage: &model.Usage{}}
+			s.pending = append(s.pending, &waiter{records: []model.Record{r}, done: make(chan struct{})})
+		}
+		s.commitPending(context.Background(), epoch)
+		got[n], _ = platform.Calls()
+	}
+	if diff := cmp.Diff(map[int]int{1: 1, 10: 1, 100: 1}, got); diff != "" {
+		t.Errorf("writes differ (-want +got):\n%s", diff)
+	}
+}
--- a/internal/recorder/shard.go
+++ b/internal/recorder/shard.go
@@ -57,6 +57,9 @@
 }
 
 func newShard(id int, cfg Config) *shard {
+	if cfg.Compact == 0 {
+		cfg.Compact = compactAfter
+	}
 	return &shard{id: id, cfg: cfg, wake: make(chan struct{}, 1), log: cfg.Log}
 }
 
--- a/internal/signer/signer.go
+++ b/internal/signer/signer.go
@@ -25,6 +25,9 @@
 // relayed configuration, so keys travel only between platform and entries.
 const KeyringKey = "keys/session"
 
+// encoding is strict, so that each token has one form only.
+var encoding = base64.RawURLEncoding.Strict()
+
 const (
 	tokenPrefix = "s1"
 	secretSize  = 32
@@ -152,8 +155,8 @@
 		return "", fmt.Errorf("encode session token: %w", err)
 	}
 	k := s.ring.Keys[len(s.ring.Keys)-1]
-	body := tokenPrefix + "." + k.ID + "." + base64.RawURLEncoding.EncodeToString(payload)
-	return body + "." + base64.RawURLEncoding.EncodeToString(mac(k.Secret, body)), nil
+	body := tokenPrefix + "." + k.ID + "." + encoding.EncodeToString(payload)
+	return body + "." + encoding.EncodeToString(mac(k.Secret, body)), nil
 }
 
 // IsToken reports whether a session header has the form of a token.
@@ -167,11 +170,11 @@
 		return t, ErrNotToken
 	}
 	secret, ok := s.secret(ctx, parts[1], now)
-	given, err := base64.RawURLEncoding.DecodeString(parts[3])
+	given, err := encoding.DecodeString(parts[3])
 	if !ok || err != nil || !hmac.Equal(given, mac(secret, strings.Join(parts[:3], "."))) {
 		return t, model.Refuse(model.KindBadSession, "the session token is not genuine: start a new session")
 	}
-	payload, err := base64.RawURLEncoding.DecodeString(parts[2])
+	payload, err := encoding.DecodeString(parts[2])
 	if err != nil || json.Unmarshal(payload, &t) != nil {
 		return t, model.Refuse(model.KindBadSession, "the session token is not genuine: start a new session")
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -20,6 +20,7 @@
 type EngineFaults struct {
 	Crash    string        `json:"crash"`
 	Truncate int           `json:"truncate"`
+	Short    bool          `json:"short"`
 	Fail     bool          `json:"fail"`
 	First    time.Duration `json:"first"`
 	Token    time.Duration `json:"token"`
@@ -223,6 +224,9 @@
 			return
 		}
 	}
+	if f.Short {
+		return
+	}
 	writeEvent(w, a.usage())
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -24,7 +24,9 @@
 	Lost  int           `json:"lost"`
 	Match string        `json:"match"`
 	Gap   bool          `json:"gap"`
-	Stale bool          `json:"stale"`
+	// Mark keeps the present state; Stale serves reads from the last mark.
+	Mark  bool `json:"mark"`
+	Stale bool `json:"stale"`
 }
 
 // Platform is an in-memory object API with an instance list; it is a storer.Store.
@@ -54,7 +56,7 @@
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if f.Stale && !p.faults.Stale {
+	if f.Mark || f.Stale && p.stale == nil {
 		p.stale = make(map[string]storer.Object, len(p.objects))
 		for k, o := range p.objects {
 			p.stale[k] = o
--- /dev/null
+++ b/internal/watcher/watcher_test.go
@@ -0,0 +1,75 @@
+package watcher
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// TestJudge reads evidence and the standing that it must give.
+func TestJudge(t *testing.T) {
+	b, err := os.ReadFile("testdata/standings.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name      string
+		Confirmed time.Duration
+		Heard     map[model.RegionID]time.Duration
+		Want      Standing
+	}
+	if err := yaml.Unmarshal(b, &cases); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			e := Evidence{Confirmed: now.Add(-c.Confirmed), Heard: map[model.RegionID]time.Time{}}
+			for r, ago := range c.Heard {
+				e.Heard[r] = now.Add(-ago)
+			}
+			if diff := cmp.Diff(c.Want, Judge(e, 3*time.Second, now)); diff != "" {
+				t.Errorf("standing differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestFeedNeverReverts applies batches late, twice, out of order and from stale sources.
+func TestFeedNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := NewFeed()
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		highest := map[string]model.Revision{}
+		for range rapid.IntRange(1, 40).Draw(t, "batches") {
+			rev := model.Revision(rapid.IntRange(1, 50).Draw(t, "revision"))
+			key := DocumentKey(model.ServiceID(fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service"))))
+			source := model.Revision(rapid.IntRange(1, 60).Draw(t, "source"))
+			before, known := f.Confirmed(), f.Revision()
+			now = now.Add(time.Second)
+			f.Apply([]storer.Object{{Key: key, Revision: rev, Value: []byte("{}")}}, source, now)
+			highest[key] = max(highest[key], rev)
+			if source < known && f.Confirmed() != before {
+				t.Fatalf("a source at %d confirmed a feed at %d", source, known)
+			}
+			if f.Revision() < known {
+				t.Fatalf("revision fell from %d to %d", known, f.Revision())
+			}
+		}
+		got := map[string]model.Revision{}
+		for _, o := range f.Since(0, "").Objects {
+			got[o.Key] = o.Revision
+		}
+		if diff := cmp.Diff(highest, got); diff != "" {
+			t.Fatalf("objects differ from the highest seen (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/pkg/model/units.go
+++ b/pkg/model/units.go
@@ -155,3 +155,6 @@
 	}
 	return f, nil
 }
+
+// String formats the share as a percentage.
+func (s Share) String() string { return strconv.FormatFloat(100*float64(s), 'f', -1, 64) + "%" }
