Trust no list's own revision as a place to continue from

Cause: config.txtar, once reads could be stale by more than a moment, failed: an entry that started on a stale list took the list's new revision as complete, so its peers sent it nothing newer, and it decided by a withdrawn version.

Change: a list is judged by the objects known before: one that lacks or has older what is known confirms nothing; the cursor starts at the newest object listed.

Before: config.txtar failed at the call through n3.

--- a/internal/watcher/feed.go
+++ b/internal/watcher/feed.go
@@ -49,6 +49,57 @@
 func (f *Feed) Apply(objects []storer.Object, revision model.Revision, confirmed time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.take(objects)
+	if revision >= f.revision {
+		f.revision = revision
+		f.confirm(confirmed)
+	}
+}
+
+// ApplyList takes a whole list of what concerns a service, read at confirmed. A list that
+// lacks something known, or has it older, is a stale read: it confirms nothing. The list's
+// own revision is not trusted as a place to continue from, since a stale list may carry a
+// new one.
+func (f *Feed) ApplyList(objects []storer.Object, service model.ServiceID, confirmed time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]model.Revision, len(objects))
+	newest := model.Revision(0)
+	for _, o := range objects {
+		listed[o.Key] = o.Revision
+		newest = max(newest, o.Revision)
+	}
+	stale := false
+	for key, o := range f.objects {
+		stale = stale || concerns(key, service) && listed[key] < o.Revision
+	}
+	f.take(objects)
+	if stale {
+		return false
+	}
+	if f.revision == 0 {
+		f.revision = newest
+	}
+	f.confirm(confirmed)
+	return true
+}
+
+// Skip continues from a later revision, after a watch that was too old was replaced by a
+// list that was not stale.
+func (f *Feed) Skip(revision model.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = max(f.revision, revision)
+}
+
+func (f *Feed) confirm(at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
+// take puts the newer objects in force.
+func (f *Feed) take(objects []storer.Object) {
 	var fresh []storer.Object
 	for _, o := range objects {
 		if o.Revision > f.objects[o.Key].Revision {
@@ -56,12 +107,6 @@
 			fresh = append(fresh, o)
 		}
 	}
-	if revision >= f.revision {
-		f.revision = revision
-		if confirmed.After(f.confirmed) {
-			f.confirmed = confirmed
-		}
-	}
 	if len(fresh) > 0 {
 		f.catalogue.Store(f.catalogue.Load().with(fresh))
 		f.notify()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -229,7 +229,7 @@
 	start := time.Now()
 	l, err := w.cfg.Store.Watch(ctx, Prefix, w.feed.Revision(), watchWait)
 	if storer.IsKind(err, storer.KindCompacted) {
-		return w.listOnce(ctx)
+		return w.restart(ctx)
 	}
 	if err != nil {
 		return err
@@ -240,16 +240,29 @@
 
 // listOnce reads everything, which repairs a watch that skipped a change.
 func (w *Watcher) listOnce(ctx context.Context) error {
+	_, _, err := w.list(ctx)
+	return err
+}
+
+// restart continues from a fresh list after a watch that was too old.
+func (w *Watcher) restart(ctx context.Context) error {
+	l, fresh, err := w.list(ctx)
+	if err == nil && fresh {
+		w.feed.Skip(l.Revision)
+	}
+	return err
+}
+
+func (w *Watcher) list(ctx context.Context) (l storer.Listing, fresh bool, err error) {
 	start := time.Now()
-	l, err := w.cfg.Store.List(ctx, Prefix)
+	l, err = w.cfg.Store.List(ctx, Prefix)
 	if err != nil {
-		return err
+		return l, false, err
 	}
 	if w.cfg.Scope != "" {
 		l.Objects = scoped(l.Objects, w.cfg.Scope)
 	}
-	w.feed.Apply(l.Objects, l.Revision, start)
-	return nil
+	return l, w.feed.ApplyList(l.Objects, w.cfg.Scope, start), nil
 }
 
 func scoped(objects []storer.Object, service model.ServiceID) []storer.Object {
