--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -3,7 +3,9 @@
 package chooser
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/explainer"
@@ -33,12 +35,14 @@
 }
 
 // Decision names the version to run, and for a cascade the second one, which runs if the
-// first answer rates below StepUnder. Expected is the quality predicted for the request.
+// first answer rates below StepUnder. Expected is the quality predicted for the request and
+// Prior that of the second version alone.
 type Decision struct {
 	Version      model.VersionID
 	Second       model.VersionID
 	StepUnder    model.Quality
 	Expected     model.Quality
+	Prior        model.Quality
 	Why          string
 	Alternatives []explainer.Alternative
 	Refusal      *model.Refusal
@@ -75,10 +79,11 @@
 		d.Refusal = model.Refuse(model.KindUnknownModel, "no version is open to this organisation under that model: see GET /v1/models")
 		return d
 	}
-	if in.Explore < float64(in.Document.Explore) {
-		return explore(in, versions, lost)
+	best, cost := optimise(in, versions, lost)
+	if d, ok := explore(in, versions, lost, cost); ok {
+		return share(in, d)
 	}
-	return optimise(in, versions, lost)
+	return share(in, best)
 }
 
 // pinned keeps a session's version, or follows the document's rule if it was withdrawn.
@@ -130,16 +135,28 @@
 	return r != nil && r.Version == v && slices.Contains(in.Organisation.Versions, r.Against) && in.Excluded[r.Against] == ""
 }
 
-func explore(in Input, versions []model.Version, lost []explainer.Alternative) Decision {
-	i := int(in.Mix * float64(len(versions)))
-	v := versions[min(i, len(versions)-1)]
-	d := Decision{Version: v.Version, Expected: model.Quality(in.Estimates[v.Version].Mean), Why: "explores", Alternatives: lost}
-	return share(in, d)
+// enoughRated is the number of ratings from which a version is explored less and less.
+const enoughRated = 100
+
+// explore sends a few requests to the version with the fewest ratings. The document's share
+// is one of the money spent, so a dear version is explored less often; it falls as ratings
+// grow, since what is known need not be paid for again.
+func explore(in Input, versions []model.Version, lost []explainer.Alternative, cost float64) (Decision, bool) {
+	least := slices.MinFunc(versions, func(a, b model.Version) int {
+		return cmp.Or(cmp.Compare(in.Estimates[a.Version].Rated, in.Estimates[b.Version].Rated), cmp.Compare(a.Version, b.Version))
+	})
+	e := in.Estimates[least.Version]
+	known := math.Min(1, enoughRated/math.Max(e.Rated, 1))
+	price := math.Min(1, cost/math.Max(float64(e.Cost), 1))
+	if in.Explore >= float64(in.Document.Explore)*known*price {
+		return Decision{}, false
+	}
+	return Decision{Version: least.Version, Expected: model.Quality(e.Mean), Why: "explores", Alternatives: lost}, true
 }
 
 // optimise solves the small linear program: least cost with mean quality at the target.
 // Its optimum mixes at most two options.
-func optimise(in Input, versions []model.Version, lost []explainer.Alternative) Decision {
+func optimise(in Input, versions []model.Version, lost []explainer.Alternative) (Decision, float64) {
 	options := singles(in, versions)
 	if in.Document.Cascade && !in.Stream {
 		options = append(options, cascades(in, options)...)
@@ -155,9 +172,10 @@
 	d := Decision{
 		Version: chosen.first, Second: chosen.second, StepUnder: chosen.stepUnder,
 		Expected: model.Quality(chosen.quality), Why: why,
+		Prior:        model.Quality(in.Estimates[chosen.second].Mean),
 		Alternatives: append(lost, alternatives(options, chosen, float64(in.Target))...),
 	}
-	return share(in, d)
+	return d, chosen.cost
 }
 
 func singles(in Input, versions []model.Version) []option {
@@ -174,16 +192,12 @@
 	var out []option
 	for _, a := range options {
 		for _, b := range options {
-			if a.cost >= b.cost || a.quality >= b.quality {
-				continue
-			}
-			for _, step := range in.Estimates[a.first].Steps {
-				q := step.Accepted + step.Below*b.quality
+			for _, step := range in.Estimates[a.first].Steps[b.first] {
 				margin := (a.quality - a.lower) * (1 - step.Below)
 				margin += (b.quality - b.lower) * step.Below
 				out = append(out, option{
 					first: a.first, second: b.first, stepUnder: step.Under,
-					quality: q, lower: q - margin, cost: a.cost + step.Below*b.cost,
+					quality: step.Quality, lower: step.Quality - margin, cost: a.cost + step.Below*b.cost,
 				})
 			}
 		}
--- /dev/null
+++ b/internal/cli/measure.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/measurer"
+)
+
+// measurements are the sections of docs/MEASUREMENTS.md, by the name of their flag.
+var measurements = []struct {
+	name string
+	run  func(measurer.Scale) measurer.Section
+}{
+	{"versions", measurer.Versions},
+	{"rollouts", measurer.Rollouts},
+}
+
+// Measure runs the measurements that the arguments name, all without any, and returns the
+// exit code.
+func Measure(args []string, out, errs io.Writer) int {
+	app := kingpin.New("measure", "Measure the decisions beside their baselines and print Markdown.")
+	app.UsageWriter(out).ErrorWriter(errs).Terminate(nil)
+	scale := app.Flag("scale", "Length of the runs; 1 is that of the page.").Default("1").Float64()
+	names := app.Arg("names", "Measurements to run.").Strings()
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(errs, "measure: %v, see 'measure --help'\n", err)
+		return exitBadInput
+	}
+	wanted := map[string]bool{}
+	for _, n := range *names {
+		wanted[n] = true
+	}
+	for _, m := range measurements {
+		if len(wanted) > 0 && !wanted[m.name] {
+			continue
+		}
+		if err := measurer.Write(out, []measurer.Section{m.run(measurer.Scale(*scale))}); err != nil {
+			fmt.Fprintf(errs, "measure: %v\n", err)
+			return exitFailure
+		}
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/measurer/measurer.go
@@ -0,0 +1,83 @@
+// Package measurer drives the real decision code with seeded arrivals through small fakes
+// and reports figures beside their baselines and targets.
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Seed is the seed of all measurements.
+const Seed = 20261204
+
+// Row is one figure with what it is compared to.
+type Row struct {
+	What     string
+	Target   string
+	Baseline string
+	Measured string
+	Met      bool
+	Note     string
+}
+
+// Section is the outcome of one measurement.
+type Section struct {
+	Title string
+	How   string
+	Rows  []Row
+}
+
+// Scale sets how long measurements run: 1 for the page, less for tests.
+type Scale float64
+
+func (s Scale) of(n int) int { return max(1, int(float64(n)*float64(s))) }
+
+// Write writes sections as Markdown tables.
+func Write(w io.Writer, sections []Section) error {
+	var b strings.Builder
+	for _, s := range sections {
+		fmt.Fprintf(&b, "## %s\n\n%s\n\n", s.Title, s.How)
+		b.WriteString("| what | target | baselines | measured | verdict |\n|---|---|---|---|---|\n")
+		for _, r := range s.Rows {
+			verdict := "met"
+			if !r.Met {
+				verdict = "**missed**"
+			}
+			if r.Note != "" {
+				verdict += ": " + r.Note
+			}
+			fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", r.What, r.Target, r.Baseline, r.Measured, verdict)
+		}
+		b.WriteString("\n")
+	}
+	_, err := io.WriteString(w, b.String())
+	if err != nil {
+		return fmt.Errorf("write measurements: %w", err)
+	}
+	return nil
+}
+
+func newRand(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(Seed, stream)) }
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// quantile returns the q-quantile of values, which it sorts.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(int(q*float64(len(values))), len(values)-1)]
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
--- a/internal/router/rating.go
+++ b/internal/router/rating.go
@@ -20,9 +20,8 @@
 	rateTimeout = 2 * time.Second
 	rateQueue   = 1024
 	rateWorkers = 4
-	// repeatShare is the part of accepted first answers that are rated twice, to learn
-	// how noisy ratings are.
-	repeatShare = 0.05
+	// repeatShare is the part of first answers that are rated twice.
+	repeatShare = 0.2
 )
 
 // raterConfig configures a raterClient; an empty URL means that nothing is rated.
@@ -125,7 +124,23 @@
 	})
 }
 
-// rateAgain rates some accepted answers a second time.
+// rateSecond learns the quality of a cascade's second answer.
+func (e *Entry) rateSecond(c *call, d chooser.Decision, first model.Quality, answer string) {
+	key := chooser.Key{Service: c.service, Organisation: c.org().Organisation}
+	service, id := c.service, c.id
+	e.rater.later(func(ctx context.Context) {
+		q, err := e.rater.rate(ctx, id, d.Second, answer)
+		if err != nil {
+			e.cfg.Log.Debug().Err(err).Msg("rating: no answer")
+			return
+		}
+		e.book.RateSecond(key, d.Version, d.Second, first, q, d.Expected)
+		e.tallies.rated(service, d.Second, q)
+	})
+}
+
+// rateAgain rates some first answers a second time, whether accepted or not: the noise of
+// ratings cannot be seen in answers that were chosen by their ratings.
 func (e *Entry) rateAgain(c *call, key chooser.Key, v model.VersionID, answer string, first model.Quality) {
 	if rand.Float64() >= repeatShare {
 		return
@@ -134,7 +149,7 @@
 	e.rater.later(func(ctx context.Context) {
 		second, err := e.rater.rate(ctx, id, v, answer)
 		if err == nil {
-			e.book.Repeat(key, first, second)
+			e.book.Repeat(key, v, first, second)
 		}
 	})
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -232,10 +232,10 @@
 	}
 	e.book.Learn(key, d.Version, rating)
 	e.tallies.rated(c.service, d.Version, rating)
+	e.rateAgain(c, key, d.Version, first.body.String(), rating)
 	if rating >= d.StepUnder {
 		c.note(explainer.Step{What: "cascade stops", Why: "the first answer rates " + strconv.FormatFloat(float64(rating), 'f', 2, 64)})
 		e.book.Settle(key, e.book.Trust(key, d.Version, rating), d.Expected)
-		e.rateAgain(c, key, d.Version, first.body.String(), rating)
 		return nil, nil
 	}
 	c.note(explainer.Step{What: "cascade steps up to " + string(d.Second), Why: "the first answer rates " + strconv.FormatFloat(float64(rating), 'f', 2, 64)})
@@ -246,8 +246,8 @@
 	if refusal != nil {
 		return nil, nil
 	}
-	second := chooser.Decision{Version: d.Second, Expected: d.Expected}
-	e.rateLater(c, second, out.body.String())
+	d.Expected = e.book.StepUp(key, d.Version, d.Second, rating, d.Expected, float64(d.Prior))
+	e.rateSecond(c, d, rating, out.body.String())
 	return out, res
 }
 
