Ask servers for a free slot, adapt concurrency to targets, carry the last server

Change: an agent without a free slot refuses at once with its fresh load, and the entry asks the next one, its own region first, before the request waits anywhere; the limit rises and falls by the users' targets for first and next token, with the unloaded time re-measured; requests that cannot end before their deadline are refused early; the session token carries the server that served last. Agents that fail too often are left out by a smoothed rate, unless no other is left (whole.txtar failed when one agent alone was cut).

--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -19,6 +19,8 @@
 	minQueue = 16
 	// serviceWeight smooths the mean time that a request holds its slot.
 	serviceWeight = 0.1
+	// serviceMargin covers most requests that take longer than the mean.
+	serviceMargin = 1.5
 )
 
 // Config configures a Queue.
@@ -34,13 +36,14 @@
 	Priority     model.Priority
 	Deadline     time.Time
 	Solo         bool
+	// NoWait asks for a refusal instead of a place in the queue.
+	NoWait bool
 }
 
-// item is a waiting request; err is set before ready closes if it may not run.
+// item is a waiting request. Its turn ends the wait: with a slot, or with a refusal.
 type item struct {
 	Request
-	ready   chan struct{}
-	refusal *model.Refusal
+	turn    func(*model.Refusal)
 	started bool
 }
 
@@ -57,6 +60,7 @@
 	limit   *Limit
 	ranks   [priorities]map[model.OrganisationID]*share
 	clock   [priorities]float64
+	counts  [priorities]int
 	waiting int
 	running int
 	solo    bool
@@ -82,19 +86,20 @@
 
 // Admit waits for a slot. On success the caller must call Release once.
 func (q *Queue) Admit(ctx context.Context, r Request, now time.Time) *model.Refusal {
-	it, refusal := q.Enqueue(r, now)
+	turn := make(chan *model.Refusal, 1)
+	it, refusal := q.Enqueue(r, func(refusal *model.Refusal) { turn <- refusal }, now)
 	if refusal != nil {
 		return refusal
 	}
 	timer := time.NewTimer(r.Deadline.Sub(now))
 	defer timer.Stop()
 	select {
-	case <-it.ready:
-		return it.refusal
+	case refusal := <-turn:
+		return refusal
 	case <-ctx.Done():
-		return q.leave(it, model.Refuse(model.KindCancelled, "the request was cancelled while it waited: send it again if it is still wanted"))
+		return q.leave(it.item, model.Refuse(model.KindCancelled, "the request was cancelled while it waited: send it again if it is still wanted"))
 	case <-timer.C:
-		return q.leave(it, deadlineRefusal())
+		return q.leave(it.item, deadlineRefusal())
 	}
 }
 
@@ -102,15 +107,22 @@
 	return model.Refuse(model.KindDeadline, "the deadline passed while the request waited: allow more time or try later").WithRetry(time.Second)
 }
 
-// Enqueue adds a request, or refuses it when it could not start before its deadline.
-func (q *Queue) Enqueue(r Request, now time.Time) (*item, *model.Refusal) {
+// Ticket is a request's place in the queue.
+type Ticket struct{ item *item }
+
+// Enqueue adds a request, or refuses it when it could not start before its deadline. Its
+// turn is called once, with nil for a slot; it must not call the queue.
+func (q *Queue) Enqueue(r Request, turn func(*model.Refusal), now time.Time) (*Ticket, *model.Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	rank := r.Priority.Rank()
-	if wait := q.estimate(rank); now.Add(wait).After(r.Deadline) || q.aheadOf(rank) >= q.capacity() {
+	if r.NoWait && (q.waiting > 0 || q.solo || q.running >= q.limit.Value()) {
+		return nil, model.Refuse(model.KindBusy, "no slot is free: another backend server may have one")
+	}
+	if wait := q.estimate(rank); now.Add(wait+q.expected()).After(r.Deadline) || q.counts[rank] >= q.capacity() {
 		return nil, model.Refuse(model.KindOverload, "the queue is too long for the deadline: try again after the given time").WithRetry(max(wait, time.Second))
 	}
-	it := &item{Request: r, ready: make(chan struct{})}
+	it := &item{Request: r, turn: turn}
 	s := q.ranks[rank][r.Organisation]
 	if s == nil {
 		s = &share{virtual: q.clock[rank]}
@@ -121,8 +133,9 @@
 	}
 	s.items = append(s.items, it)
 	q.waiting++
+	q.counts[rank]++
 	q.dispatch(now)
-	return it, nil
+	return &Ticket{it}, nil
 }
 
 // estimate is the expected wait of a new request behind those of its rank and above.
@@ -136,14 +149,17 @@
 
 func (q *Queue) aheadOf(rank int) int {
 	n := 0
-	for i := 0; i <= rank; i++ {
-		for _, s := range q.ranks[i] {
-			n += len(s.items)
-		}
+	for _, count := range q.counts[:rank+1] {
+		n += count
 	}
 	return n
 }
 
+// expected is the time that a request will hold its slot, with a margin for its variance.
+func (q *Queue) expected() time.Duration {
+	return time.Duration(serviceMargin * q.service * float64(time.Second))
+}
+
 func (q *Queue) capacity() int { return max(minQueue, queueFactor*q.limit.Value()) }
 
 // leave gives up a waiting request; one that started at the same moment gives its slot back.
@@ -167,26 +183,34 @@
 		if other == it {
 			s.items = append(s.items[:i], s.items[i+1:]...)
 			q.waiting--
+			q.counts[it.Priority.Rank()]--
 			break
 		}
 	}
 	q.prune(it.Priority.Rank(), it.Organisation, s)
 }
 
-// Release returns a slot. Held is how long the request had it and first the time to the
-// first byte, zero if there was none.
-func (q *Queue) Release(r Request, held, first time.Duration, failed bool, now time.Time) {
+// Usage is how a request used its slot: how long it held it, and how fast it was served.
+type Usage struct {
+	Held    time.Duration
+	First   time.Duration
+	Between time.Duration
+	Failed  bool
+}
+
+// Release returns a slot.
+func (q *Queue) Release(r Request, u Usage, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if failed {
+	if u.Failed {
 		q.limit.Fail()
-	} else if first > 0 {
-		q.limit.Observe(first, q.running)
+	} else {
+		q.limit.Observe(Sample{First: u.First, Between: u.Between, Running: q.running}, now)
 	}
 	if q.service == 0 {
-		q.service = held.Seconds()
+		q.service = u.Held.Seconds()
 	}
-	q.service += (held.Seconds() - q.service) * serviceWeight
+	q.service += (u.Held.Seconds() - q.service) * serviceWeight
 	q.free(r.Solo, now)
 }
 
@@ -209,17 +233,17 @@
 		}
 		s.items = s.items[1:]
 		q.waiting--
+		q.counts[rank]--
 		q.advance(rank, s, it)
-		if now.After(it.Deadline) {
-			it.refusal = deadlineRefusal()
-			close(it.ready)
+		if now.Add(q.expected()).After(it.Deadline) {
+			it.turn(deadlineRefusal())
 			continue
 		}
 		it.started = true
 		q.running++
 		q.starts++
 		q.solo = it.Solo
-		close(it.ready)
+		it.turn(nil)
 	}
 }
 
--- a/internal/admitter/queue_test.go
+++ b/internal/admitter/queue_test.go
@@ -21,15 +21,15 @@
 			now = now.Add(time.Millisecond)
 			switch rapid.SampledFrom([]string{"arrive", "arrive", "end", "leave"}).Draw(t, "step") {
 			case "arrive":
-				it, refusal := q.Enqueue(Request{
+				ticket, refusal := q.Enqueue(Request{
 					Organisation: rapid.SampledFrom([]model.OrganisationID{"x", "y"}).Draw(t, "organisation"),
 					Weight:       rapid.Float64Range(0.1, 5).Draw(t, "weight"),
 					Priority:     rapid.SampledFrom([]model.Priority{model.PriorityHigh, model.PriorityNormal, model.PriorityBatch}).Draw(t, "priority"),
 					Deadline:     now.Add(time.Hour),
 					Solo:         rapid.IntRange(0, 5).Draw(t, "solo") == 0,
-				}, now)
+				}, func(*model.Refusal) {}, now)
 				if refusal == nil {
-					open = append(open, it)
+					open = append(open, ticket.item)
 				}
 			case "end", "leave":
 				if len(open) == 0 {
@@ -52,7 +52,7 @@
 
 func end(q *Queue, it *item, now time.Time) {
 	if it.started {
-		q.Release(it.Request, time.Millisecond, 0, false, now)
+		q.Release(it.Request, Usage{Held: time.Millisecond}, now)
 		return
 	}
 	q.leave(it, nil)
@@ -82,11 +82,11 @@
 	q := NewQueue(Config{Limit: LimitConfig{Initial: 1, Min: 1, Max: 1}})
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	add := func(p model.Priority) *item {
-		it, refusal := q.Enqueue(Request{Organisation: "x", Weight: 1, Priority: p, Deadline: now.Add(time.Hour)}, now)
+		ticket, refusal := q.Enqueue(Request{Organisation: "x", Weight: 1, Priority: p, Deadline: now.Add(time.Hour)}, func(*model.Refusal) {}, now)
 		if refusal != nil {
 			t.Fatal(refusal)
 		}
-		return it
+		return ticket.item
 	}
 	first := add(model.PriorityHigh)
 	urgent := add(model.PriorityHigh)
@@ -95,7 +95,7 @@
 		if n > 2*lowEvery {
 			t.Fatalf("a batch request did not start within %d others", n)
 		}
-		q.Release(first.Request, time.Millisecond, 0, false, now)
+		q.Release(first.Request, Usage{Held: time.Millisecond}, now)
 		first = urgent
 		urgent = add(model.PriorityHigh)
 	}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -134,14 +134,20 @@
 	}
 	request := a.request(&r.work, start)
 	if refusal := a.queue.Admit(r.ctx, request, start); refusal != nil {
-		r.finish(refusalFrame(refusal), time.Now())
+		f := refusalFrame(refusal)
+		if refusal.Kind == model.KindBusy {
+			load := a.currentLoad()
+			f.Load = &load
+		}
+		r.finish(f, time.Now())
 		return
 	}
 	a.publishLoad()
 	a.cfg.Meter.Queued(r.work.Organisation, r.work.Class, time.Since(start))
 	begun := time.Now()
-	first, failed := a.perform(r)
-	a.queue.Release(request, time.Since(begun), first, failed, time.Now())
+	use := a.perform(r)
+	use.Held = time.Since(begun)
+	a.queue.Release(request, use, time.Now())
 	a.publishLoad()
 }
 
@@ -158,29 +164,35 @@
 		Priority:     w.Priority,
 		Deadline:     now.Add(w.Budget),
 		Solo:         w.Suspect || a.suspected(w.Fingerprint),
+		NoWait:       w.NoWait,
 	}
 }
 
 // perform checks once more, since the document may have changed in the queue, and then
 // hands the request to the backend server.
-func (a *Agent) perform(r *run) (first time.Duration, failed bool) {
+func (a *Agent) perform(r *run) admitter.Usage {
 	if refusal := a.check(r.ctx, &r.work); refusal != nil {
 		r.finish(refusalFrame(refusal), time.Now())
-		return 0, false
+		return admitter.Usage{}
 	}
 	if !r.hand() {
-		return 0, false
+		return admitter.Usage{}
 	}
+	start := time.Now()
 	end, first, refusal := a.backend.call(r)
+	use := admitter.Usage{First: first, Failed: refusal != nil}
 	if refusal == nil {
+		if r.work.Stream && end.Output > 1 {
+			use.Between = (time.Since(start) - first) / time.Duration(end.Output-1)
+		}
 		a.complete(r, end)
-		return first, false
+		return use
 	}
 	if refusal.Kind == model.KindBackendFailed && r.ctx.Err() == nil {
 		a.inspect(r.work)
 	}
 	r.finish(refusalFrame(refusal), time.Now())
-	return first, true
+	return use
 }
 
 func (a *Agent) complete(r *run, end *messenger.End) {
--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -16,6 +16,12 @@
 }{
 	{"versions", measurer.Versions},
 	{"rollouts", measurer.Rollouts},
+	{"servers", measurer.Servers},
+	{"affinity", measurer.Affinity},
+	{"admission", measurer.Admission},
+	{"limits", measurer.Limits},
+	{"retries", measurer.Retries},
+	{"writes", measurer.Writes},
 }
 
 // Measure runs the measurements that the arguments name, all without any, and returns the
--- a/internal/measurer/rollout.go
+++ b/internal/measurer/rollout.go
@@ -120,11 +120,7 @@
 			s.Rows = append(s.Rows, rolloutRow(scale, b, share, uint64(i)))
 		}
 	}
-	return append1(s, falseAlarms(scale))
-}
-
-func append1(s Section, r Row) Section {
-	s.Rows = append(s.Rows, r)
+	s.Rows = append(s.Rows, falseAlarms(scale))
 	return s
 }
 
@@ -142,7 +138,14 @@
 		fixed = append(fixed, float64(exposed(&thresholdDetector{}, b, share, rolloutLength, newRand(seed))))
 	}
 	ratio := mean(ours) / mean(fixed)
+	note := ""
+	if b.ramp && ratio >= 1.0/3 {
+		note = "while the change is still small, no test at this rate of false alarms has evidence enough"
+	} else if ratio >= 1.0/3 {
+		note = "one report's interval holds that many requests"
+	}
 	return Row{
+		Note:     note,
 		What:     fmt.Sprintf("%s, at %.0f%% share: exposed requests", b.name, 100*share),
 		Target:   "under a third of the fixed threshold's",
 		Baseline: fmt.Sprintf("fixed threshold %.0f, no guard all", mean(fixed)),
--- a/internal/measurer/versions.go
+++ b/internal/measurer/versions.go
@@ -271,8 +271,12 @@
 	if cascade {
 		what = "not streamed (cascade allowed)"
 	}
+	note := ""
+	if ratios["router"] > 1.05 {
+		note = "the margin for noise in the ratings of accepted answers costs the rest"
+	}
 	return []Row{
-		{What: what + ": mean cost as a ratio to the bound", Target: "at most 1.05", Baseline: strings.Join(costs, ", "), Measured: fmt.Sprintf("%.3f", ratios["router"]), Met: ratios["router"] <= 1.05},
+		{Note: note, What: what + ": mean cost as a ratio to the bound", Target: "at most 1.05", Baseline: strings.Join(costs, ", "), Measured: fmt.Sprintf("%.3f", ratios["router"]), Met: ratios["router"] <= 1.05},
 		{What: what + ": organisations under the target 0.74", Target: "0 of 10", Baseline: strings.Join(misses, ", "), Measured: fmt.Sprintf("%d (lowest mean %.4f)", missed["router"], worst), Met: missed["router"] == 0},
 	}
 }
--- a/internal/messenger/work.go
+++ b/internal/messenger/work.go
@@ -39,6 +39,7 @@
 	Idempotent   bool                 `json:"idempotent"`
 	Fingerprint  model.Fingerprint    `json:"fingerprint"`
 	Suspect      bool                 `json:"suspect,omitempty"`
+	NoWait       bool                 `json:"nowait,omitempty"`
 	Method       string               `json:"method"`
 	Path         string               `json:"path"`
 	Type         string               `json:"type,omitempty"`
@@ -81,7 +82,8 @@
 	FrameRefuse FrameKind = "refuse"
 )
 
-// Frame is one numbered part of an answer.
+// Frame is one numbered part of an answer. Load is the agent's own, on a refusal for want
+// of a free slot.
 type Frame struct {
 	Request model.RequestID `json:"request"`
 	Seq     int             `json:"seq"`
@@ -91,6 +93,7 @@
 	Data    []byte          `json:"data,omitempty"`
 	End     *End            `json:"end,omitempty"`
 	Refusal *model.Refusal  `json:"refusal,omitempty"`
+	Load    *model.Load     `json:"load,omitempty"`
 }
 
 // End closes an answer: the number of frames before it, the digest of all data, the
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -19,7 +19,7 @@
 	affinityBound = 1.25
 	// affinityFree is the utilisation below which affinity always holds.
 	affinityFree = 0.7
-	// saturated is the utilisation from which another region is considered.
+	// saturated is the utilisation from which affinity gives way.
 	saturated = 1.0
 	// regionPenalty is added to the utilisation of servers in other regions.
 	regionPenalty = 0.3
@@ -44,10 +44,15 @@
 	Version    model.VersionID
 	Self       model.Place
 	Affinity   string
-	Peers      int
-	Excluded   map[model.InstanceID]string
-	Dice       [3]float64
-	Now        time.Time
+	// Hint is the server that served the session last.
+	Hint     model.InstanceID
+	Excluded map[model.InstanceID]string
+	// Far asks for another region although the own one has servers left.
+	Far bool
+	// Wait asks for the server with the shortest wait, after those drawn had no free slot.
+	Wait bool
+	Dice [3]float64
+	Now  time.Time
 }
 
 // Choice is the chosen agent, or none.
@@ -68,10 +73,15 @@
 	if len(open) == 0 {
 		return Choice{Why: "no backend server serves the version", Alternatives: lost}
 	}
-	near, far := split(open, in.Self.Region)
-	pool := near
-	if len(near) == 0 || leastOf(near, in) >= saturated && len(far) > 0 {
-		pool = open
+	pool, far := split(open, in.Self.Region)
+	if len(pool) == 0 || in.Far && len(far) > 0 {
+		pool = far
+	}
+	if in.Wait {
+		return chosen(shortestWait(open, in), "has the shortest wait", open, lost, in)
+	}
+	if c, ok := byHint(pool, in); ok {
+		return chosen(c, "served the session last", pool, lost, in)
 	}
 	if in.Affinity != "" {
 		if c, ok := byAffinity(pool, in); ok {
@@ -129,12 +139,14 @@
 	return u
 }
 
-func leastOf(cs []Candidate, in Input) float64 {
-	least := utilisation(cs[0], in)
-	for _, c := range cs[1:] {
-		least = min(least, utilisation(c, in))
+// byHint returns the server that served the session last, unless it is full.
+func byHint(cs []Candidate, in Input) (Candidate, bool) {
+	for _, c := range cs {
+		if c.Instance.Instance == in.Hint && utilisation(c, in) < saturated {
+			return c, true
+		}
 	}
-	return least
+	return Candidate{}, false
 }
 
 // byAffinity returns the first server in rendezvous order that is not overloaded.
@@ -172,6 +184,25 @@
 	return best
 }
 
+// shortestWait returns the least loaded of all; the loads of servers that just answered
+// that they are full are fresh.
+func shortestWait(cs []Candidate, in Input) Candidate {
+	best := cs[draw(in.Dice[0], len(cs))]
+	for _, c := range cs {
+		if utilisation(c, in) < utilisation(best, in) {
+			best = c
+		}
+	}
+	return best
+}
+
+// MaxProbes is the number of servers that are asked to start a request at once before it
+// is left to wait at one of them.
+const MaxProbes = 8
+
+// NearProbes is how many of them stay in the own region, where asking costs little.
+const NearProbes = 7
+
 func draw(dice float64, n int) int { return min(int(dice*float64(n)), n-1) }
 
 // maxAlternatives bounds the list in a decision record.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"strconv"
 	"time"
@@ -27,6 +28,7 @@
 	version model.VersionID
 	pinned  bool
 	bill    model.RecordKey
+	noWait  bool
 }
 
 // outcome is a whole answer's end and where it ran.
@@ -44,17 +46,49 @@
 	boot     model.BootID
 }
 
-// pick chooses an agent and records why.
-func (e *Entry) pick(c *call, version model.VersionID, excluded map[model.InstanceID]string, now time.Time) (target, *model.Refusal) {
-	choice := picker.Nearest{}.Decide(picker.Input{
-		Candidates: e.fleet.candidates(c.service, excluded, now),
-		Version:    version,
-		Self:       e.cfg.Self.Place,
-		Affinity:   c.affinityKey(),
-		Excluded:   excluded,
-		Dice:       dice(),
-		Now:        now,
-	})
+// tried is what one step has learnt of the agents: those that refused it, and those that
+// only had no free slot. After enough of these the request waits in a queue.
+type tried struct {
+	refused map[model.InstanceID]string
+	full    map[model.InstanceID]string
+	// exhausted tells that all agents were asked for a free slot.
+	exhausted bool
+}
+
+func newTried() *tried {
+	return &tried{refused: map[model.InstanceID]string{}, full: map[model.InstanceID]string{}}
+}
+
+func (t *tried) waits() bool { return t.exhausted || len(t.full) >= picker.MaxProbes }
+
+func (t *tried) excluded() map[model.InstanceID]string {
+	out := maps.Clone(t.refused)
+	if !t.waits() {
+		maps.Copy(out, t.full)
+	}
+	return out
+}
+
+// pick chooses an agent and records why. When all agents that are left are full, the
+// request is to wait at one of them.
+func (e *Entry) pick(c *call, version model.VersionID, t *tried, now time.Time) (target, *model.Refusal) {
+	in := picker.Input{
+		Version:  version,
+		Self:     e.cfg.Self.Place,
+		Affinity: c.affinityKey(),
+		Hint:     c.hint,
+		Excluded: t.excluded(),
+		Far:      len(t.full) >= picker.NearProbes,
+		Wait:     t.waits(),
+		Dice:     dice(),
+		Now:      now,
+	}
+	in.Candidates = e.fleet.candidates(c.service, in.Excluded, now)
+	choice := picker.Nearest{}.Decide(in)
+	if !choice.Found && len(t.full) > 0 && !t.waits() {
+		t.exhausted = true
+		return e.pick(c, version, t, now)
+	}
 	c.note(explainer.Step{What: "backend server " + string(choice.Instance.Instance), Why: choice.Why, Alternatives: choice.Alternatives})
 	p, ok := e.fleet.peer(choice.Instance.Instance)
 	if !choice.Found || !ok {
@@ -66,25 +100,31 @@
 
 // attempts runs a step, elsewhere again as long as that is safe and within the budget.
 func (e *Entry) attempts(c *call, s step, out sink) (*outcome, *model.Refusal) {
-	excluded := map[model.InstanceID]string{}
-	e.budget.first()
+	known := newTried()
+	e.budget.First()
 	var ran *model.Refusal
-	for n := 1; ; n++ {
-		t, refusal := e.pick(c, s.version, excluded, time.Now())
+	for n, sent := 1, 1; ; sent++ {
+		t, refusal := e.pick(c, s.version, known, time.Now())
 		if refusal != nil {
 			return nil, worse(ran, refusal)
 		}
-		s.id = model.RequestID(string(s.bill) + "." + string(s.version) + "." + strconv.Itoa(n))
+		s.id = model.RequestID(string(s.bill) + "." + string(s.version) + "." + strconv.Itoa(sent))
+		s.noWait = !known.waits() && c.class.Priority != model.PriorityBatch
 		res, refusal := e.runOn(c, s, t, out)
 		if refusal == nil {
 			return res, nil
 		}
 		c.note(explainer.Step{What: "refused by " + string(t.instance.Instance), Why: refusal.Error() + " (run: " + string(refusal.Run) + ")"})
+		if refusal.Kind == model.KindBusy {
+			known.full[t.instance.Instance] = "has no free slot"
+			continue
+		}
 		ran = worse(ran, refusal)
 		if !e.mayRetry(c, refusal, out, n) {
 			return nil, ran
 		}
-		excluded[t.instance.Instance] = "refused: " + string(refusal.Kind)
+		n++
+		known.refused[t.instance.Instance] = "refused: " + string(refusal.Kind)
 	}
 }
 
@@ -113,13 +153,13 @@
 	if r.Run != model.RunNo && !c.idempotent {
 		return false
 	}
-	return e.budget.retry()
+	return e.budget.Retry()
 }
 
 // runOn runs a step on one agent and follows its answer across cuts.
 func (e *Entry) runOn(c *call, s step, t target, out sink) (*outcome, *model.Refusal) {
-	end, refusal := e.follow(c, s, t, out)
-	var load *model.Load
+	c.served = t.instance.Instance
+	end, refusal, load := e.follow(c, s, t, out)
 	if end != nil {
 		load = end.Load
 	}
@@ -140,10 +180,10 @@
 	return false
 }
 
-func (e *Entry) follow(c *call, s step, t target, out sink) (*messenger.End, *model.Refusal) {
+func (e *Entry) follow(c *call, s step, t target, out sink) (*messenger.End, *model.Refusal, *model.Load) {
 	work, err := c.work(s, t)
 	if err != nil {
-		return nil, model.Refuse(model.KindInternal, "encode the request: %v", err)
+		return nil, model.Refuse(model.KindInternal, "encode the request: %v", err), nil
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
@@ -153,21 +193,22 @@
 		if err == nil {
 			var end *messenger.End
 			var refusal *model.Refusal
+			var load *model.Load
 			before := asm.Next()
-			end, refusal, err = e.receive(reader, asm, out)
+			end, refusal, load, err = e.receive(reader, asm, out)
 			reader.Close()
 			if end != nil || refusal != nil {
-				return end, refusal
+				return end, refusal, load
 			}
 			if asm.Next() > before {
 				tries = 0
 			}
 		}
 		if isDial(err) && tries == 0 {
-			return nil, model.Refuse(model.KindNoBackend, "the agent cannot be reached: another one takes the request")
+			return nil, model.Refuse(model.KindNoBackend, "the agent cannot be reached: another one takes the request"), nil
 		}
 		if c.ctx.Err() != nil || tries >= resumeTries || errors.Is(err, messenger.ErrNotKept) {
-			return nil, e.settle(c, s, t)
+			return nil, e.settle(c, s, t), nil
 		}
 		pause(c.ctx, resumePause<<min(tries, 4))
 		in := messenger.ResumeRequest{Request: s.id, From: asm.Next(), Boot: t.boot}
@@ -192,6 +233,7 @@
 		Idempotent:   c.idempotent,
 		Fingerprint:  c.fingerprint,
 		Suspect:      c.suspect,
+		NoWait:       s.noWait,
 		Method:       c.method,
 		Path:         c.path,
 		Type:         c.contentType,
@@ -202,18 +244,18 @@
 
 // receive passes on the frames of one connection until the answer ends or the
 // connection does.
-func (e *Entry) receive(reader *messenger.FrameReader, asm *messenger.Assembly, out sink) (*messenger.End, *model.Refusal, error) {
+func (e *Entry) receive(reader *messenger.FrameReader, asm *messenger.Assembly, out sink) (*messenger.End, *model.Refusal, *model.Load, error) {
 	for {
 		f, err := reader.Next()
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, nil, err
+			return nil, nil, nil, err
 		}
 		fresh, err := asm.Accept(f)
 		if err != nil {
-			return nil, asRefusal(err), nil
+			return nil, asRefusal(err), nil, nil
 		}
 		if !fresh {
 			continue
@@ -223,12 +265,12 @@
 			out.head(f.Status, f.Type)
 		case messenger.FramePart:
 			if err := out.part(f.Data); err != nil {
-				return nil, asRefusal(err), nil
+				return nil, asRefusal(err), nil, nil
 			}
 		case messenger.FrameRefuse:
-			return nil, f.Refusal, nil
+			return nil, f.Refusal, f.Load, nil
 		case messenger.FrameEnd:
-			return f.End, nil, nil
+			return f.End, nil, nil, nil
 		}
 	}
 }
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -34,6 +34,8 @@
 	session     string
 	sessionID   model.SessionID
 	pinned      model.VersionID
+	hint        model.InstanceID
+	served      model.InstanceID
 	model       string
 	stream      bool
 	method      string
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -24,11 +24,11 @@
 // request, which names the agent before anything is handed over.
 func (e *Entry) runClaimed(c *call, d chooser.Decision, w http.ResponseWriter) *model.Refusal {
 	key := recorder.ClaimKey(c.service, c.org().Organisation, c.key)
-	excluded := map[model.InstanceID]string{}
+	known := newTried()
 	var last *model.Refusal
 	var claimed *model.Claim
 	for range claimTries {
-		t, refusal := e.pick(c, d.Version, excluded, time.Now())
+		t, refusal := e.pick(c, d.Version, known, time.Now())
 		if refusal != nil && claimed == nil {
 			return e.lookBack(c, key, refusal, d, w)
 		}
@@ -50,7 +50,7 @@
 			return refusal
 		}
 		last = refusal
-		excluded[t.instance.Instance] = "refused: " + string(refusal.Kind)
+		known.refused[t.instance.Instance] = "refused: " + string(refusal.Kind)
 	}
 	return e.release(c, key, claimed, last, last)
 }
@@ -169,7 +169,7 @@
 	}
 	defer reader.Close()
 	out := &bufferSink{}
-	end, refusal, _ := e.receive(reader, messenger.NewAssembly(id), out)
+	end, refusal, _, _ := e.receive(reader, messenger.NewAssembly(id), out)
 	switch {
 	case end != nil:
 		return out, model.RunYes
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -55,7 +55,7 @@
 	acks    *ackQueue
 	rater   *raterClient
 	tallies *tallyBoard
-	budget  *retryBudget
+	budget  *RetryBudget
 	pins    *pinCache
 	leaving atomic.Bool
 }
@@ -68,7 +68,7 @@
 		limits:  limiter.New(),
 		ring:    explainer.NewRing(explained),
 		tallies: newTallyBoard(),
-		budget:  newRetryBudget(),
+		budget:  NewRetryBudget(),
 		pins:    newPinCache(),
 	}
 	e.fleet = newFleet(fleetConfig{Self: cfg.Self, Watcher: cfg.Watcher, Pool: cfg.Pool, Log: cfg.Log})
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -15,12 +15,9 @@
 )
 
 const (
-	fleetEvery  = 200 * time.Millisecond
-	loadWait    = 2 * time.Second
-	loadSlack   = time.Second
-	cutFailures = 3
-	cutFor      = 2 * time.Second
-	maxCut      = 15 * time.Second
+	fleetEvery = 200 * time.Millisecond
+	loadWait   = 2 * time.Second
+	loadSlack  = time.Second
 )
 
 // fleetConfig configures a fleet.
@@ -49,8 +46,7 @@
 	open     int
 	sent     int
 	done     int
-	failures int
-	cutUntil time.Time
+	cut      Cut
 	stop     context.CancelFunc
 }
 
@@ -161,8 +157,7 @@
 	return p.instance, p.load.Boot
 }
 
-// end counts its answer. After several failures in a row the agent gets nothing for a
-// while, with jitter so that entries do not return together.
+// end counts its answer or failure.
 func (p *peer) end(failed bool, load *model.Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -172,15 +167,11 @@
 		p.load = *load
 		p.sent, p.done = 0, 0
 	}
-	if !failed {
-		p.failures = 0
+	if failed {
+		p.cut.Failed(now, rand.Float64())
 		return
 	}
-	p.failures++
-	if p.failures >= cutFailures {
-		pause := min(cutFor<<min(p.failures-cutFailures, 4), maxCut)
-		p.cutUntil = now.Add(pause/2 + rand.N(pause/2))
-	}
+	p.cut.Succeeded()
 }
 
 // candidates returns the agents of a service as the picker reads them.
@@ -188,6 +179,7 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	var out []picker.Candidate
+	var cut []model.InstanceID
 	for id, p := range f.peers {
 		p.mu.Lock()
 		if p.instance.Service == service {
@@ -195,12 +187,18 @@
 				Instance: p.instance, Load: p.load, Known: p.known,
 				Open: p.open, Sent: p.sent, Done: p.done,
 			})
-			if now.Before(p.cutUntil) && excluded[id] == "" {
-				excluded[id] = "failed several times in a row"
+			if p.cut.Active(now) && excluded[id] == "" {
+				cut = append(cut, id)
 			}
 		}
 		p.mu.Unlock()
 	}
+	// If all that are left fail too often, one of them is still better than a refusal.
+	if len(out)-len(excluded) > len(cut) {
+		for _, id := range cut {
+			excluded[id] = "failed too often"
+		}
+	}
 	return out
 }
 
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -45,7 +45,7 @@
 		}
 		return model.Refuse(model.KindBadSession, "the session token is not genuine: start a new session")
 	}
-	c.sessionID, c.pinned = t.Session, t.Version
+	c.sessionID, c.pinned, c.hint = t.Session, t.Version, t.Agent
 	return nil
 }
 
@@ -100,7 +100,7 @@
 	}
 	expires := time.Now().Add(c.doc().Session.TTL).Unix()
 	t, err := e.cfg.Signer.Sign(signer.Token{
-		Organisation: c.org().Organisation, Service: c.service, Version: v, Session: c.sessionID, Expires: expires,
+		Organisation: c.org().Organisation, Service: c.service, Version: v, Session: c.sessionID, Expires: expires, Agent: c.served,
 	})
 	if err != nil {
 		e.cfg.Log.Warn().Err(err).Str("request", string(c.id)).Msg("session: no token could be signed")
--- a/internal/signer/signer.go
+++ b/internal/signer/signer.go
@@ -55,6 +55,8 @@
 	Version      model.VersionID      `json:"v"`
 	Session      model.SessionID      `json:"i"`
 	Expires      int64                `json:"e"`
+	// Agent served the session last and may still have its prompt prefix.
+	Agent model.InstanceID `json:"a,omitempty"`
 }
 
 // Errors of Verify; each is a typed refusal for the caller.
--- a/pkg/model/refusal.go
+++ b/pkg/model/refusal.go
@@ -29,6 +29,7 @@
 	KindWithdrawn     RefusalKind = "withdrawn"
 	KindOverLimit     RefusalKind = "over_limit"
 	KindOverload      RefusalKind = "overload"
+	KindBusy          RefusalKind = "busy"
 	KindDeadline      RefusalKind = "deadline"
 	KindNoBackend     RefusalKind = "no_backend"
 	KindStale         RefusalKind = "stale_configuration"
--- a/pkg/parser/settings.go
+++ b/pkg/parser/settings.go
@@ -24,6 +24,8 @@
 	defaultDrainLag    = 2 * time.Second
 	defaultGrace       = 2 * time.Minute
 	minSecretLength    = 16
+	defaultFirst       = 380 * time.Millisecond
+	defaultBetween     = 34 * time.Millisecond
 )
 
 // ParseSettings reads the settings of one process; the error is a Faults.
@@ -114,8 +116,10 @@
 		URL:         required(sub, "url", httpURL),
 		Kind:        required(sub, "kind", oneOf(model.KindModel, model.KindPlain)),
 		Concurrency: optional(sub, "concurrency", 64, whole(1, 100_000)),
+		First:       optional(sub, "first", defaultFirst, model.ParseDuration),
+		Between:     optional(sub, "between", defaultBetween, model.ParseDuration),
 	}
-	sub.close("url", "kind", "concurrency")
+	sub.close("url", "kind", "concurrency", "first", "between")
 	return b
 }
 
