Read the instance list in turns and order lists by when they were read

Cause: writing down the traffic at 420 nodes and 890 replicas showed that every relay read the whole instance list each second (220 KB at that size), and that a relay with an older list could hand it back to one that had a newer one.

Change: relays read whole lists in turns and pass changes on as deltas; a list carries when it was read, and a later one is never replaced by an earlier one; agents answer at most 10 load reports a second, however many entries ask.

--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -13,7 +13,7 @@
 	// loadWait is the shortest time between two load reports to one entry.
 	loadWait = 300 * time.Millisecond
 	// reportsPerSecond bounds what an agent spends on load reports, however many entries ask.
-	reportsPerSecond = 40
+	reportsPerSecond = 10
 	// maxLoadWait bounds how old a report may get.
 	maxLoadWait = 20 * time.Second
 )
--- a/internal/measurer/writes.go
+++ b/internal/measurer/writes.go
@@ -35,7 +35,7 @@
 	defer cancel()
 	platform := standin.NewPlatform()
 	platform.SetFaults(standin.PlatformFaults{Slow: storeDelay})
-	view := registrar.NewView([]model.Instance{{Instance: "n1", Role: model.RoleEntry}})
+	view := registrar.NewView([]model.Instance{{Instance: "n1", Role: model.RoleEntry}}, epoch)
 	ledger := recorder.New(recorder.Config{Self: "n1", Store: platform, Shards: writeShards, Flush: writeFlush, Window: time.Hour, Log: zerolog.Nop()})
 	client := recorder.NewClient(recorder.ClientConfig{
 		Self: "n1", View: func() *registrar.View { return view }, Local: ledger, Shards: writeShards, Buffer: 1 << 20, Log: zerolog.Nop(),
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -45,11 +45,13 @@
 }
 
 // PollRequest asks a relay for configuration newer than From; Service limits the
-// answer to one service's objects, and Digest names the instance list already known.
+// answer to one service's objects. Digest names the instance list already known, which
+// was read at Listed.
 type PollRequest struct {
 	From    model.Revision  `json:"from"`
 	Service model.ServiceID `json:"service,omitempty"`
 	Digest  uint64          `json:"digest"`
+	Listed  time.Time       `json:"listed"`
 	Wait    time.Duration   `json:"wait"`
 }
 
@@ -68,6 +70,7 @@
 type InstanceDelta struct {
 	Base    uint64             `json:"base"`
 	Digest  uint64             `json:"digest"`
+	At      time.Time          `json:"at"`
 	Rows    []model.Instance   `json:"rows,omitempty"`
 	Removed []model.InstanceID `json:"removed,omitempty"`
 }
--- a/internal/registrar/delta.go
+++ b/internal/registrar/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -26,11 +27,17 @@
 	return h.views[len(h.views)-1]
 }
 
-// Add makes a view the newest one and reports whether it differs from the last.
+// Add makes a view that was read later the newest one, and reports whether it differs.
+// A relay that still has an older list so never takes a newer one back.
 func (h *History) Add(v *View) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.views[len(h.views)-1].digest == v.digest {
+	last := h.views[len(h.views)-1]
+	if !v.at.After(last.at) {
+		return false
+	}
+	if last.digest == v.digest {
+		h.views[len(h.views)-1] = v
 		return false
 	}
 	h.views = append(h.views, v)
@@ -40,13 +47,12 @@
 	return true
 }
 
-// Since returns what changes the view with the digest into the newest one, or nil if
-// nothing does.
-func (h *History) Since(digest uint64) *messenger.InstanceDelta {
+// Since returns what changes a view into the newest one, or nil if that was not read later.
+func (h *History) Since(digest uint64, at time.Time) *messenger.InstanceDelta {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	current := h.views[len(h.views)-1]
-	if current.digest == digest || current.digest == 0 {
+	if current.digest == digest || current.digest == 0 || !current.at.After(at) {
 		return nil
 	}
 	for _, v := range h.views {
@@ -54,11 +60,11 @@
 			return diff(v, current)
 		}
 	}
-	return &messenger.InstanceDelta{Digest: current.digest, Rows: current.list}
+	return &messenger.InstanceDelta{Digest: current.digest, At: current.at, Rows: current.list}
 }
 
 func diff(from, to *View) *messenger.InstanceDelta {
-	d := &messenger.InstanceDelta{Base: from.digest, Digest: to.digest}
+	d := &messenger.InstanceDelta{Base: from.digest, Digest: to.digest, At: to.at}
 	for _, row := range to.list {
 		if old, ok := from.Find(row.Instance); !ok || old != row {
 			d.Rows = append(d.Rows, row)
@@ -75,7 +81,7 @@
 // Apply returns the view after a delta, or false if the delta has another base.
 func (v *View) Apply(d *messenger.InstanceDelta) (*View, bool) {
 	if d.Base == 0 {
-		return NewView(d.Rows), true
+		return NewView(d.Rows, d.At), true
 	}
 	if d.Base != v.digest {
 		return nil, false
@@ -94,6 +100,6 @@
 	for _, row := range rows {
 		list = append(list, row)
 	}
-	next := NewView(list)
+	next := NewView(list, d.At)
 	return next, next.digest == d.Digest
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -30,12 +31,12 @@
 func TestDeltas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		relay, listener := NewHistory(), NewHistory()
-		for range rapid.IntRange(1, 10).Draw(t, "changes") {
-			relay.Add(NewView(drawList(t)))
+		for i := range rapid.IntRange(1, 10).Draw(t, "changes") {
+			relay.Add(NewView(drawList(t), time.Unix(int64(i+1), 0)))
 			if rapid.IntRange(0, 2).Draw(t, "misses") == 0 {
 				continue
 			}
-			if d := relay.Since(listener.Current().Digest()); d != nil {
+			if d := relay.Since(listener.Current().Digest(), listener.Current().At()); d != nil {
 				next, ok := listener.Current().Apply(d)
 				if !ok {
 					t.Fatal("delta does not fit")
@@ -57,7 +58,7 @@
 func TestRolesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		list := drawList(t)
-		v := NewView(list)
+		v := NewView(list, time.Time{})
 		entries := v.Entries()
 		if len(entries) < 2 {
 			return
@@ -69,7 +70,7 @@
 				rest = append(rest, i)
 			}
 		}
-		after := NewView(rest)
+		after := NewView(rest, time.Time{})
 		for shard := range 8 {
 			key := fmt.Sprint("ledger/", shard)
 			a, _ := v.First(key)
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,23 +25,27 @@
 type View struct {
 	list   []model.Instance
 	digest uint64
+	at     time.Time
 }
 
-// NewView returns the view of a list.
-func NewView(list []model.Instance) *View {
+// NewView returns the view of a list that was read at a time.
+func NewView(list []model.Instance, at time.Time) *View {
 	rows := slices.Clone(list)
 	slices.SortFunc(rows, func(a, b model.Instance) int { return cmp.Compare(a.Instance, b.Instance) })
 	if len(rows) == 0 {
-		return &View{}
+		return &View{at: at}
 	}
 	// Encoding plain structs cannot fail.
 	b, _ := json.Marshal(rows)
-	return &View{list: rows, digest: xxhash.Sum64(b)}
+	return &View{list: rows, digest: xxhash.Sum64(b), at: at}
 }
 
 // Digest identifies the list; it is 0 for an empty one.
 func (v *View) Digest() uint64 { return v.digest }
 
+// At returns when the list was read, by the clock of the instance that read it.
+func (v *View) At() time.Time { return v.at }
+
 // List returns all rows, ordered by instance.
 func (v *View) List() []model.Instance { return v.list }
 
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -16,7 +16,7 @@
 
 const (
 	fleetEvery = 200 * time.Millisecond
-	loadWait   = 2 * time.Second
+	loadWait   = 5 * time.Second
 	loadSlack  = time.Second
 )
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -88,8 +88,8 @@
 	wg.Go(func() { w.bootstrap(ctx); w.plan(ctx) })
 	if w.cfg.Self.Role == model.RoleEntry {
 		wg.Go(func() { w.whileRelay(ctx, w.watchOnce) })
-		wg.Go(func() { w.whileRelay(ctx, every(listEvery, w.listOnce)) })
-		wg.Go(func() { w.whileRelay(ctx, every(rowsEvery, w.rowsOnce)) })
+		wg.Go(func() { w.whileRelay(ctx, w.inTurn(listEvery, w.listOnce)) })
+		wg.Go(func() { w.whileRelay(ctx, w.inTurn(rowsEvery, w.rowsOnce)) })
 	}
 	wg.Wait()
 }
@@ -170,7 +170,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+refreshLimit)
 	defer cancel()
 	start := time.Now()
-	in := messenger.PollRequest{From: w.feed.Revision(), Service: w.cfg.Scope, Digest: w.View().Digest(), Wait: wait}
+	view := w.View()
+	in := messenger.PollRequest{From: w.feed.Revision(), Service: w.cfg.Scope, Digest: view.Digest(), Listed: view.At(), Wait: wait}
 	reply, err := messenger.Call[messenger.PollReply](ctx, w.cfg.Pool, addr, messenger.MethodPoll, in)
 	if err != nil {
 		return err
@@ -217,10 +218,20 @@
 	}
 }
 
-func every(interval time.Duration, step func(ctx context.Context) error) func(ctx context.Context) error {
+// freeReaders is the number of relays that read at the full rate; more share that rate,
+// since each passes what it reads on to the others.
+const freeReaders = 4
+
+// inTurn repeats a whole read at an interval that grows with the number of relays.
+func (w *Watcher) inTurn(interval time.Duration, step func(ctx context.Context) error) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
 		err := step(ctx)
-		pause(ctx, interval)
+		relays := 0
+		for _, region := range w.View().Regions() {
+			relays += len(w.View().Relays(region))
+		}
+		turn := interval * time.Duration(max(relays, freeReaders)) / freeReaders
+		pause(ctx, turn-turn/4+rand.N(turn/2))
 		return err
 	}
 }
@@ -276,11 +287,12 @@
 }
 
 func (w *Watcher) rowsOnce(ctx context.Context) error {
+	now := time.Now()
 	rows, err := w.cfg.Lister.Instances(ctx)
 	if err != nil {
 		return err
 	}
-	w.addView(registrar.NewView(rows))
+	w.addView(registrar.NewView(rows, now))
 	return nil
 }
 
@@ -290,7 +302,7 @@
 	defer timer.Stop()
 	for {
 		batch := w.feed.Since(in.From, in.Service)
-		delta := w.views.Since(in.Digest)
+		delta := w.views.Since(in.Digest, in.Listed)
 		if len(batch.Objects) == 0 && delta == nil {
 			select {
 			case <-ctx.Done():
