--- a/internal/cli/caller_test.go
+++ b/internal/cli/caller_test.go
@@ -201,3 +201,13 @@
 	}
 	fmt.Fprintf(ts.Stdout(), "%d version in %d answers\n", len(seen), answers)
 }
+
+// explain runs the explain command for the last request of the script.
+func (f *testFleet) explain(ts *testscript.TestScript) {
+	last := fmt.Sprintf("request-%d", f.masked["request"])
+	var out strings.Builder
+	if code := Main([]string{"explain", "--platform", ts.Getenv("BRAMLEYHINGE_PLATFORM"), f.unmask(last)}, &out, &out); code != exitOK {
+		ts.Fatalf("explain: %s", out.String())
+	}
+	fmt.Fprint(ts.Stdout(), out.String())
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,25 +44,43 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := kingpin.New("bramleyhinge", help)
-	app.UsageWriter(out).ErrorWriter(errs).Terminate(nil)
+	app.UsageWriter(out).ErrorWriter(errs)
 	app.HelpFlag.Short('h')
 	commands := register(app)
-	name, err := app.Parse(args)
-	if err != nil {
-		fmt.Fprintf(errs, "bramleyhinge: %v, see 'bramleyhinge --help'\n", err)
-		return exitBadInput
+	name, code := parse(app, args, errs)
+	if name == "" {
+		return code
 	}
-	c, ok := commands[name]
-	if !ok {
-		return exitOK
-	}
-	if err := c.run(ctx, out); err != nil {
+	if err := commands[name].run(ctx, out); err != nil {
 		fmt.Fprintf(errs, "bramleyhinge: %v\n", err)
 		return exitCode(err)
 	}
 	return exitOK
 }
 
+// exited is what the library's wish to end the process, after it printed help, turns into.
+type exited int
+
+// parse returns the command that the arguments name, or the exit code if there is none to run.
+func parse(app *kingpin.Application, args []string, errs io.Writer) (name string, code int) {
+	defer func() {
+		if r := recover(); r != nil {
+			e, ok := r.(exited)
+			if !ok {
+				panic(r)
+			}
+			name, code = "", int(e)
+		}
+	}()
+	app.Terminate(func(code int) { panic(exited(code)) })
+	name, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(errs, "%s: %v, see '%s --help'\n", app.Name, err, app.Name)
+		return "", exitBadInput
+	}
+	return name, exitOK
+}
+
 func register(app *kingpin.Application) map[string]command {
 	commands := map[string]command{}
 	add := func(name, help string, bind func(*kingpin.CmdClause) command) {
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -166,6 +166,10 @@
 	if body := opts["body"]; body != "" {
 		fmt.Fprintf(&b, "limits: {body: %s}\n", body)
 	}
+	if name := opts["tls"]; name != "" {
+		work := ts.Getenv("WORK")
+		fmt.Fprintf(&b, "tls: {cert: %s/%s.cert.pem, key: %s/%s.key.pem, ca: %s/%s.ca.pem}\n", work, name, work, name, work, name)
+	}
 	if peers := opts["peers"]; peers != "" {
 		fmt.Fprintf(&b, "peers: [%s]\n", f.procs[peers].control)
 	}
--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -29,12 +29,12 @@
 // exit code.
 func Measure(args []string, out, errs io.Writer) int {
 	app := kingpin.New("measure", "Measure the decisions beside their baselines and print Markdown.")
-	app.UsageWriter(out).ErrorWriter(errs).Terminate(nil)
+	app.UsageWriter(out).ErrorWriter(errs)
 	scale := app.Flag("scale", "Length of the runs; 1 is that of the page.").Default("1").Float64()
-	names := app.Arg("names", "Measurements to run, or capacity for the capacity page.").Strings()
-	if _, err := app.Parse(args); err != nil {
-		fmt.Fprintf(errs, "measure: %v, see 'measure --help'\n", err)
-		return exitBadInput
+	list := app.Command("run", "Measure and print.").Default()
+	names := list.Arg("names", "Measurements to run, or capacity for the capacity page.").Strings()
+	if name, code := parse(app, args, errs); name == "" {
+		return code
 	}
 	if len(*names) == 1 && (*names)[0] == "capacity" {
 		if err := measurer.WriteCapacity(out); err != nil {
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -23,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app := kingpin.New("standin", "Stand-ins for the systems that bramleyhinge meets, with fault switches.")
-	app.UsageWriter(out).ErrorWriter(errs).Terminate(nil)
+	app.UsageWriter(out).ErrorWriter(errs)
 	addr := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
 	platform := app.Command("platform", "Object API and instance list.")
 	instances := platform.Flag("instances", "JSON file with the instance list.").String()
@@ -33,10 +33,9 @@
 	token := engine.Flag("token", "Time for one token.").Default("0s").Duration()
 	plain := app.Command("plain", "Plain service.")
 	app.Command("rater", "Rating service.")
-	name, err := app.Parse(args)
-	if err != nil {
-		fmt.Fprintf(errs, "standin: %v, see 'standin --help'\n", err)
-		return exitBadInput
+	name, code := parse(app, args, errs)
+	if name == "" {
+		return code
 	}
 	// A crash of a stand-in process is a real one.
 	crash := func() { os.Exit(exitFailure) }
