--- a/internal/measurer/affinity.go
+++ b/internal/measurer/affinity.go
@@ -157,7 +157,7 @@
 func adoption(gain, faster float64) string {
 	words := fmt.Sprintf("%+.1f points of hits, first token %+.1f%% earlier: ", 100*gain, 100*faster)
 	if gain > 0.02 || faster > 0.05 {
-		return words + "better, see docs/design/affinity.md"
+		return words + "better, see docs/design/servers.md"
 	}
 	return words + "not adopted"
 }
