--- a/internal/cli/caller_test.go
+++ b/internal/cli/caller_test.go
@@ -25,6 +25,7 @@
 	method, path, key, via, body, bg string
 	heads                            []string
 	times                            int
+	slow                             bool
 }
 
 func parseCall(ts *testscript.TestScript, args []string) callSpec {
@@ -42,6 +43,8 @@
 			c.heads = append(c.heads, rest[1])
 		case "-body":
 			c.body = rest[1]
+		case "-slow":
+			c.slow = true
 		case "-bg":
 			c.bg = rest[1]
 		case "-times":
@@ -111,10 +114,30 @@
 		return fmt.Sprintf("> %s %s\n< no answer\n\n", c.method, c.path), 0
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	var reading io.Reader = resp.Body
+	if c.slow {
+		reading = slowReader{resp.Body}
+	}
+	b, err := io.ReadAll(reading)
 	return f.mask(c, resp, string(b), err), resp.StatusCode
 }
 
+// slowReader reads a little at a time, with pauses.
+type slowReader struct{ io.Reader }
+
+// Read implements io.Reader.
+func (r slowReader) Read(b []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return r.Reader.Read(b[:min(len(b), 512)])
+}
+
+// pending fails if a background call has already ended.
+func (f *testFleet) pending(ts *testscript.TestScript, name string) {
+	if len(f.results[name]) > 0 {
+		ts.Fatalf("%s has ended already", name)
+	}
+}
+
 var variable = regexp.MustCompile(`s1\.[\w.-]+|\b01[0-9A-HJKMNP-TV-Z]{24}\b`)
 
 // mask replaces what differs from run to run by stable names, such as request-1.
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -297,8 +297,8 @@
 	}
 }
 
-// stop ends a process as planned and checks that it leaves cleanly.
-func (f *testFleet) stop(ts *testscript.TestScript, name string) {
+// drain ends a process as planned and checks that it leaves cleanly.
+func (f *testFleet) drain(ts *testscript.TestScript, name string) {
 	p := f.procs[name]
 	p.signal(syscall.SIGTERM)
 	select {
@@ -316,7 +316,7 @@
 	}
 }
 
-func (f *testFleet) kill(_ *testscript.TestScript, name string) {
+func (f *testFleet) crash(_ *testscript.TestScript, name string) {
 	p := f.procs[name]
 	p.signal(syscall.SIGKILL)
 	<-p.done
@@ -363,7 +363,11 @@
 
 // fault sets the switches of a stand-in.
 func (f *testFleet) fault(ts *testscript.TestScript, name, switches string) {
-	f.request(ts, http.MethodPost, name, "/faults", switches)
+	path := "/faults"
+	if f.procs[name].kind == "rater" {
+		path = "/quality"
+	}
+	f.request(ts, http.MethodPost, name, path, switches)
 }
 
 // look prints what a stand-in or entry answers to a GET.
--- a/internal/cli/load_test.go
+++ b/internal/cli/load_test.go
@@ -105,14 +105,100 @@
 
 // owner returns the entry that owns drafting-models, from its status object.
 func (f *testFleet) owner(ts *testscript.TestScript) string {
+	return string(f.serviceStatus(ts).Owner)
+}
+
+func (f *testFleet) freezeOwner(ts *testscript.TestScript) {
+	f.frozen = f.owner(ts)
+	f.procs[f.frozen].signal(syscall.SIGSTOP)
+}
+
+func number(ts *testscript.TestScript, s string) int {
+	n, err := strconv.Atoi(s)
+	ts.Check(err)
+	return n
+}
+
+// serviceStatus returns the status object of drafting-models.
+func (f *testFleet) serviceStatus(ts *testscript.TestScript) owner.Status {
 	var o storer.Object
 	ts.Check(json.Unmarshal([]byte(f.request(ts, http.MethodGet, "platform", "/objects/status/drafting-models", "")), &o))
 	var s owner.Status
 	ts.Check(json.Unmarshal(o.Value, &s))
-	return string(s.Owner)
+	return s
 }
 
-func (f *testFleet) freezeOwner(ts *testscript.TestScript) {
+// untilVerdict sends requests through the entries that run until the roll-out has a verdict
+// under an owner that runs; it gives up after some rounds of requests.
+func (f *testFleet) untilVerdict(ts *testscript.TestScript, want string, rounds int) {
+	for round := 0; ; round++ {
+		s := f.serviceStatus(ts)
+		if s.Rollout != nil && string(s.Rollout.Verdict) == want && f.runs(string(s.Owner)) {
+			return
+		}
+		if rounds > 0 && round == rounds {
+			f.dumpLogs(ts)
+			ts.Fatalf("the roll-out is not %s after %d rounds: %+v", want, rounds, s.Rollout)
+		}
+		for _, n := range []string{"n1", "n2", "n3"} {
+			if f.runs(n) {
+				f.send(ts, callSpec{method: "POST", path: "/v1/chat/completions", key: "example-key-duluth-floor", via: n, body: `{"model":"drafting-models","max_tokens":1,"messages":[]}`})
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (f *testFleet) runs(name string) bool {
+	p := f.procs[name]
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (f *testFleet) crashOwner(ts *testscript.TestScript) {
 	f.frozen = f.owner(ts)
-	f.procs[f.frozen].signal(syscall.SIGSTOP)
+	f.crash(ts, f.frozen)
+	f.row(ts, f.frozen, "gone")
+}
+
+func (f *testFleet) startOwner(ts *testscript.TestScript) {
+	f.start(ts, f.frozen)
+	f.ready(ts, f.frozen)
+}
+
+// stepUp sends requests until a cascade has stepped up; CALLS is then their number.
+func (f *testFleet) stepUp(ts *testscript.TestScript, most int) {
+	for n := 1; n <= most; n++ {
+		body := fmt.Sprintf(`{"model":"drafting-models","max_tokens":2,"messages":[{"content":"draft %d"}]}`, n)
+		text, status := f.send(ts, callSpec{method: "POST", path: "/v1/chat/completions", key: "example-key-duluth-floor", via: "n1", body: body})
+		if status != http.StatusOK {
+			ts.Fatalf("status %d: %s", status, text)
+		}
+		var out strings.Builder
+		id := f.unmask(fmt.Sprintf("request-%d", f.masked["request"]))
+		if code := Main([]string{"explain", "--platform", ts.Getenv("BRAMLEYHINGE_PLATFORM"), id}, &out, &out); code != exitOK {
+			ts.Fatalf("explain: %s", out.String())
+		}
+		if strings.Contains(out.String(), "cascade steps up to dear@1") {
+			ts.Setenv("CALLS", strconv.Itoa(n))
+			return
+		}
+	}
+	ts.Fatalf("no cascade stepped up in %d requests", most)
+}
+
+// served prints how many requests an engine has served of a version.
+func (f *testFleet) served(ts *testscript.TestScript, engine, version string) {
+	var load struct {
+		ByVersion map[string]int `json:"byversion"`
+	}
+	ts.Check(json.Unmarshal([]byte(f.request(ts, http.MethodGet, engine, "/load", "")), &load))
+	fmt.Fprintln(ts.Stdout(), load.ByVersion[version])
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -22,6 +23,7 @@
 	Truncate int           `json:"truncate"`
 	Short    bool          `json:"short"`
 	Fail     bool          `json:"fail"`
+	Bad      string        `json:"bad"`
 	First    time.Duration `json:"first"`
 	Token    time.Duration `json:"token"`
 }
@@ -36,14 +38,15 @@
 
 // Engine is a stand-in of a model engine with the usual completions API.
 type Engine struct {
-	cfg      EngineConfig
-	mu       sync.Mutex
-	versions []string
-	faults   EngineFaults
-	fence    uint64
-	running  int
-	served   int
-	orders   []EngineOrder
+	cfg       EngineConfig
+	mu        sync.Mutex
+	versions  []string
+	faults    EngineFaults
+	fence     uint64
+	running   int
+	served    int
+	versioned map[string]int
+	orders    []EngineOrder
 }
 
 // EngineOrder loads or unloads a version.
@@ -55,15 +58,17 @@
 
 // EngineLoad is the engine's load report.
 type EngineLoad struct {
-	Running  int      `json:"running"`
-	Served   int      `json:"served"`
-	Versions []string `json:"versions"`
-	Fence    uint64   `json:"fence"`
+	Running int `json:"running"`
+	Served  int `json:"served"`
+	// ByVersion counts the requests of each version.
+	ByVersion map[string]int `json:"byversion"`
+	Versions  []string       `json:"versions"`
+	Fence     uint64         `json:"fence"`
 }
 
 // NewEngine returns an engine that serves the configured versions.
 func NewEngine(cfg EngineConfig) *Engine {
-	return &Engine{cfg: cfg, versions: slices.Clone(cfg.Versions), faults: cfg.Faults}
+	return &Engine{cfg: cfg, versions: slices.Clone(cfg.Versions), faults: cfg.Faults, versioned: map[string]int{}}
 }
 
 // Handler serves the engine's API.
@@ -81,7 +86,7 @@
 func (e *Engine) Load() EngineLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return EngineLoad{Running: e.running, Served: e.served, Versions: slices.Clone(e.versions), Fence: e.fence}
+	return EngineLoad{Running: e.running, Served: e.served, ByVersion: maps.Clone(e.versioned), Versions: slices.Clone(e.versions), Fence: e.fence}
 }
 
 // Orders returns the orders that took effect.
@@ -166,7 +171,7 @@
 		http.Error(w, `{"error":"bad JSON"}`, http.StatusBadRequest)
 		return
 	}
-	if f.Fail {
+	if f.Fail || f.Bad != "" && f.Bad == c.Model {
 		http.Error(w, `{"error":"engine failure"}`, http.StatusInternalServerError)
 		return
 	}
@@ -174,6 +179,7 @@
 		http.Error(w, `{"error":"version is not loaded"}`, http.StatusNotFound)
 		return
 	}
+	e.count(c.Model)
 	a := newAnswer(&c, chat)
 	if !sleep(r, f.First) {
 		return
@@ -201,6 +207,12 @@
 	return e.faults, !crash
 }
 
+func (e *Engine) count(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.versioned[version]++
+}
+
 func (e *Engine) end() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/rater.go
+++ b/internal/standin/rater.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"net/http"
 	"sync"
 )
@@ -15,7 +16,11 @@
 	Quality float64 `json:"quality"`
 }
 
-// Rater is a stand-in of the rating service with a fixed quality for each version.
+// raterSpread is how far the ratings of single answers lie around a version's quality.
+const raterSpread = 0.2
+
+// Rater is a stand-in of the rating service: each version has a mean quality, around which
+// answers differ by their text.
 type Rater struct {
 	mu      sync.Mutex
 	quality map[string]float64
@@ -70,5 +75,8 @@
 	if !ok {
 		q = 0.9
 	}
-	writeJSON(w, http.StatusOK, Rating{Request: in.Request, Version: in.Version, Quality: q})
+	h := fnv.New32a()
+	h.Write([]byte(in.Answer))
+	q += raterSpread * (2*float64(h.Sum32()%1000)/1000 - 1)
+	writeJSON(w, http.StatusOK, Rating{Request: in.Request, Version: in.Version, Quality: min(max(q, 0), 1)})
 }
