Bound what one organisation and all bodies can hold

Cause: 4,096 connections with bodies of 4 MiB could hold 16 GB of an entry; an organisation without a concurrency limit could hold all of it; an even share of a small concurrency limit was rounded up to one on every entry, so that 420 entries would have let 420 through a limit of 4; each request derived the relays from the whole instance list.

Change: settings limits.memory and limits.organisation on both roles; whole shares add up to the limit, with the owner's word and without; relays and entries are derived once for each list; a caller that leaves has its request ended at the engine.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/oklog/ulid/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
@@ -49,6 +50,7 @@
 	polls   atomic.Int64
 	crashes crashes
 	boot    model.BootID
+	bodies  *semaphore.Weighted
 	stop    context.Context
 }
 
@@ -63,6 +65,7 @@
 		backend: newBackend(backendConfig{URL: s.Backend.URL, Kind: s.Backend.Kind}),
 		secret:  messenger.Secret(s.Secret),
 		changed: make(chan struct{}),
+		bodies:  semaphore.NewWeighted(int64(s.Limits.Memory)),
 		stop:    context.Background(),
 	}
 	a.boot = model.BootID(ulid.Make().String())
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -128,6 +128,16 @@
 // execute takes one request through the gate, the queue and the backend server.
 func (a *Agent) execute(r *run) {
 	start := time.Now()
+	size := int64(len(r.work.Body))
+	if !a.bodies.TryAcquire(size) {
+		refusal := model.Refuse(model.KindOverload, "the agent holds as many request bodies as it may: another one takes the request").WithRetry(time.Second)
+		r.finish(refusalFrame(refusal), start)
+		return
+	}
+	defer func() {
+		r.work.Body = nil
+		a.bodies.Release(size)
+	}()
 	if refusal := a.check(r.ctx, &r.work); refusal != nil {
 		r.finish(refusalFrame(refusal), time.Now())
 		return
--- a/internal/cli/caller_test.go
+++ b/internal/cli/caller_test.go
@@ -26,6 +26,7 @@
 	heads                            []string
 	times                            int
 	slow                             bool
+	leave                            time.Duration
 }
 
 func parseCall(ts *testscript.TestScript, args []string) callSpec {
@@ -43,6 +44,10 @@
 			c.heads = append(c.heads, rest[1])
 		case "-body":
 			c.body = rest[1]
+		case "-leave":
+			leave, err := time.ParseDuration(rest[1])
+			ts.Check(err)
+			c.leave = leave
 		case "-slow":
 			c.slow = true
 		case "-bg":
@@ -109,6 +114,11 @@
 		k, v, _ := strings.Cut(h, ": ")
 		r.Header.Set(k, f.unmask(v))
 	}
+	if c.leave > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), c.leave)
+		defer cancel()
+		r = r.WithContext(ctx)
+	}
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return fmt.Sprintf("> %s %s\n< no answer\n\n", c.method, c.path), 0
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -163,8 +163,8 @@
 	}
 	fmt.Fprintf(&b, "platform: http://%s\nsecret: env:%s\n", platform, secretVariable)
 	fmt.Fprintf(&b, "drain: {lag: 300ms, grace: 30s}\nlog: {level: debug}\n")
-	if body := opts["body"]; body != "" {
-		fmt.Fprintf(&b, "limits: {body: %s}\n", body)
+	if limits := opts["limits"]; limits != "" {
+		fmt.Fprintf(&b, "limits: {%s}\n", strings.NewReplacer(":", ": ", ",", ", ").Replace(limits))
 	}
 	if name := opts["tls"]; name != "" {
 		work := ts.Getenv("WORK")
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -38,16 +38,16 @@
 // New returns a limiter without limits.
 func New() *Limiter { return &Limiter{entries: map[Key]*entry{}} }
 
-// Admit takes one request within the organisation's part of its limits; entries is the
-// number of live entries, for the even share that holds without a valid grant. On success
-// the caller must call Release.
-func (l *Limiter) Admit(k Key, o model.Organisation, entries int, now time.Time) *model.Refusal {
+// Admit takes one request within the organisation's part of its limits; even is the share
+// that holds without a valid grant, and wherever the document sets no limit. On success the
+// caller must call Release.
+func (l *Limiter) Admit(k Key, o model.Organisation, even model.Grant, now time.Time) *model.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(k, now)
 	e.asked++
-	share := e.share(o, max(entries, 1), now)
-	if o.Concurrency > 0 && e.running >= share.Concurrency {
+	share := e.share(o, even, now)
+	if e.running >= share.Concurrency {
 		return model.Refuse(model.KindOverLimit, "the organisation has as many requests running as its document allows: wait for one to end").WithRetry(time.Second)
 	}
 	if o.Rate > 0 && !e.allow(share.Rate, now) {
@@ -102,14 +102,15 @@
 }
 
 // share is the part in force: the owner's grant, or an even share once it has run out.
-func (e *entry) share(o model.Organisation, entries int, now time.Time) model.Grant {
-	if now.Before(e.until) {
-		return e.grant
+func (e *entry) share(o model.Organisation, even model.Grant, now time.Time) model.Grant {
+	if !now.Before(e.until) {
+		return even
 	}
-	return model.Grant{
-		Rate:        o.Rate / model.Rate(entries),
-		Concurrency: max(1, o.Concurrency/entries),
+	g := e.grant
+	if o.Concurrency == 0 {
+		g.Concurrency = even.Concurrency
 	}
+	return g
 }
 
 func (e *entry) allow(r model.Rate, now time.Time) bool {
--- a/internal/limiter/split.go
+++ b/internal/limiter/split.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -32,6 +34,47 @@
 	return grants
 }
 
+// SplitWhole divides a whole number as Split does; the parts add up to it, the largest
+// fractions being rounded up.
+func SplitWhole(limit int, entries []model.InstanceID, demand map[model.InstanceID]float64) map[model.InstanceID]int {
+	grants := make(map[model.InstanceID]int, len(entries))
+	parts := Split(float64(limit), entries, demand)
+	rest := limit
+	for _, e := range entries {
+		grants[e] = int(parts[e])
+		rest -= grants[e]
+	}
+	order := slices.Clone(entries)
+	slices.SortFunc(order, func(a, b model.InstanceID) int {
+		return cmp.Or(cmp.Compare(parts[b]-float64(grants[b]), parts[a]-float64(grants[a])), cmp.Compare(a, b))
+	})
+	for _, e := range order[:min(max(rest, 0), len(order))] {
+		grants[e]++
+	}
+	return grants
+}
+
+// EvenWhole is one entry's even part of a whole number. All entries derive the same
+// division: the remainder goes to those that rank first for the key.
+func EvenWhole(limit int, key string, self model.InstanceID, entries []model.InstanceID) int {
+	n := max(len(entries), 1)
+	part, rest := limit/n, limit%n
+	if rest == 0 {
+		return part
+	}
+	own := xxhash.Sum64String(key + string(self))
+	rank := 0
+	for _, e := range entries {
+		if e != self && xxhash.Sum64String(key+string(e)) > own {
+			rank++
+		}
+	}
+	if rank < rest {
+		part++
+	}
+	return part
+}
+
 // fill gives each entry its demand if the limit allows, the smallest demands first.
 func fill(rest float64, entries []model.InstanceID, demand map[model.InstanceID]float64) map[model.InstanceID]float64 {
 	grants := make(map[model.InstanceID]float64, len(entries))
--- a/internal/limiter/split_test.go
+++ b/internal/limiter/split_test.go
@@ -48,6 +48,28 @@
 	})
 }
 
+// TestWholeShares checks that whole parts add up to the limit, with and without an owner.
+func TestWholeShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 50).Draw(t, "limit")
+		var entries []model.InstanceID
+		demand := map[model.InstanceID]float64{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "entries") {
+			e := model.InstanceID(fmt.Sprint("n", i))
+			entries = append(entries, e)
+			demand[e] = rapid.Float64Range(0, 20).Draw(t, "demand")
+		}
+		granted, even := 0, 0
+		for e, n := range SplitWhole(limit, entries, demand) {
+			granted += n
+			even += EvenWhole(limit, "s/o/", e, entries)
+		}
+		if granted != limit || even != limit {
+			t.Fatalf("granted %d and evenly %d of %d", granted, even, limit)
+		}
+	})
+}
+
 // TestGrantRunsOut checks that an entry whose owner is silent falls back to its even share.
 func TestGrantRunsOut(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -57,7 +79,7 @@
 	l.Grant(k, model.Grant{Concurrency: 8}, now.Add(time.Second), now)
 	admitted := func(at time.Time) int {
 		n := 0
-		for l.Admit(k, org, 5, at) == nil {
+		for l.Admit(k, org, model.Grant{Concurrency: 2}, at) == nil {
 			n++
 		}
 		for range n {
--- a/internal/measurer/limits.go
+++ b/internal/measurer/limits.go
@@ -54,7 +54,7 @@
 		for i, n := range counts {
 			for k := range n {
 				at := now.Add(span(limitInterval * float64(k) / float64(n)))
-				if limiters[i].Admit(key, org, live, at) == nil {
+				if limiters[i].Admit(key, org, evenPart(live), at) == nil {
 					limiters[i].Release(key)
 					passed++
 				}
@@ -69,6 +69,10 @@
 	return limitResult{admitted / offered, worst}
 }
 
+func evenPart(live int) model.Grant {
+	return model.Grant{Rate: limitRate / model.Rate(live), Concurrency: limitRate}
+}
+
 // reportLimits lets the entries report and takes the owner's grants; every other entry is
 // silent while it cannot talk.
 func reportLimits(limiters []*limiter.Limiter, demand map[model.InstanceID]float64, key limiter.Key, now time.Time, silent bool) {
--- a/internal/owner/desk.go
+++ b/internal/owner/desk.go
@@ -243,6 +243,6 @@
 	}
 	return model.Grant{
 		Rate:        model.Rate(limiter.Split(float64(o.Rate), ids, rates)[entry]),
-		Concurrency: int(limiter.Split(float64(o.Concurrency), ids, running)[entry]),
+		Concurrency: limiter.SplitWhole(o.Concurrency, ids, running)[entry],
 	}
 }
--- a/internal/registrar/view.go
+++ b/internal/registrar/view.go
@@ -24,9 +24,10 @@
 
 // View is an immutable instance list; all processes derive the same roles from the same list.
 type View struct {
-	list   []model.Instance
-	digest uint64
-	at     time.Time
+	list    []model.Instance
+	entries []model.Instance
+	digest  uint64
+	at      time.Time
 }
 
 // NewView returns the view of a list that was read at a time.
@@ -38,7 +39,9 @@
 	}
 	// Encoding plain structs cannot fail.
 	b, _ := json.Marshal(rows)
-	return &View{list: rows, digest: xxhash.Sum64(b), at: at}
+	v := &View{list: rows, digest: xxhash.Sum64(b), at: at}
+	v.entries = v.filter(func(i model.Instance) bool { return i.Role == model.RoleEntry && !i.Leaving })
+	return v
 }
 
 // Digest identifies the list; it is 0 for an empty one.
@@ -62,9 +65,7 @@
 }
 
 // Entries returns the entries that are not leaving.
-func (v *View) Entries() []model.Instance {
-	return v.filter(func(i model.Instance) bool { return i.Role == model.RoleEntry && !i.Leaving })
-}
+func (v *View) Entries() []model.Instance { return v.entries }
 
 // Agents returns the agents of a service, leaving ones included.
 func (v *View) Agents(service model.ServiceID) []model.Instance {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -164,6 +164,10 @@
 		load = end.Load
 	}
 	t.peer.end(refusal != nil && blames(refusal), load, time.Now())
+	if refusal != nil && refusal.Kind == model.KindCancelled {
+		// Nobody waits for the rest of the answer.
+		e.settle(c, s, t)
+	}
 	if refusal != nil {
 		c.suspect = c.suspect || refusal.Kind == model.KindBackendFailed
 		return nil, refusal
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -78,10 +78,11 @@
 	return access, nil
 }
 
-// newCall reads what all calls have in common. The caller must call cancel.
-func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (*call, context.CancelFunc, *model.Refusal) {
+// newCall reads what all calls have in common. The caller must call release, which is nil
+// only with a refusal.
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request) (c *call, release func(), refusal *model.Refusal) {
 	now := time.Now()
-	c := &call{
+	c = &call{
 		id:          model.RequestID(ulid.Make().String()),
 		start:       now,
 		key:         model.IdempotencyKey(r.Header.Get(headerKey)),
@@ -93,8 +94,16 @@
 	if len(c.key) > maxKeyLength || len(c.session) > 4*maxKeyLength {
 		return c, nil, model.Refuse(model.KindBadRequest, "the idempotency key or session is too long: use at most %d characters", maxKeyLength)
 	}
+	size := int64(e.cfg.Settings.Limits.Body)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength)
+	}
+	if !e.bodies.TryAcquire(size) {
+		return c, nil, model.Refuse(model.KindOverload, "this instance holds as many request bodies as it may: try again, another instance may have room").WithRetry(time.Second)
+	}
 	body, refusal := e.readBody(w, r)
 	if refusal != nil {
+		e.bodies.Release(size)
 		return c, nil, refusal
 	}
 	c.body = body
@@ -102,7 +111,7 @@
 	c.deadline = now.Add(limit)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	c.ctx = ctx
-	return c, cancel, nil
+	return c, func() { cancel(); e.bodies.Release(size) }, nil
 }
 
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *model.Refusal) {
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/explainer"
@@ -57,6 +58,7 @@
 	tallies *tallyBoard
 	budget  *RetryBudget
 	pins    *pinCache
+	bodies  *semaphore.Weighted
 	leaving atomic.Bool
 }
 
@@ -70,6 +72,7 @@
 		tallies: newTallyBoard(),
 		budget:  NewRetryBudget(),
 		pins:    newPinCache(),
+		bodies:  semaphore.NewWeighted(int64(cfg.Settings.Limits.Memory)),
 	}
 	e.fleet = newFleet(fleetConfig{Self: cfg.Self, Watcher: cfg.Watcher, Pool: cfg.Pool, Log: cfg.Log})
 	e.acks = newAckQueue(cfg.Work, cfg.Log)
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -41,9 +41,9 @@
 		e.refuse(w, refusal)
 		return
 	}
-	c, cancel, refusal := e.newCall(w, r)
+	c, release, refusal := e.newCall(w, r)
 	if refusal == nil {
-		defer cancel()
+		defer release()
 		refusal = read(c, access)
 	}
 	if refusal != nil {
@@ -99,7 +99,7 @@
 		return model.Refuse(model.KindUnavailable, "too many usage lines wait for the platform: try again later").WithRetry(5 * time.Second)
 	}
 	key := limiter.Key{Service: c.service, Organisation: c.org().Organisation}
-	if refusal := e.limits.Admit(key, c.org(), len(e.cfg.Watcher.View().Entries()), now); refusal != nil {
+	if refusal := e.limits.Admit(key, c.org(), e.evenShare(key, c.org()), now); refusal != nil {
 		return refusal
 	}
 	defer e.limits.Release(key)
@@ -112,6 +112,21 @@
 	return e.runModel(c, w)
 }
 
+// evenShare is this entry's part of an organisation's limits without the owner's word. One
+// without a concurrency has this instance's bound, so that no caller holds all of it.
+func (e *Entry) evenShare(key limiter.Key, o model.Organisation) model.Grant {
+	rows := e.cfg.Watcher.View().Entries()
+	share := model.Grant{Rate: o.Rate / model.Rate(max(len(rows), 1)), Concurrency: e.cfg.Settings.Limits.Organisation}
+	if o.Concurrency > 0 {
+		ids := make([]model.InstanceID, len(rows))
+		for i, row := range rows {
+			ids[i] = row.Instance
+		}
+		share.Concurrency = limiter.EvenWhole(o.Concurrency, string(key.Service)+"/"+string(key.Organisation)+"/", e.cfg.Self.Instance, ids)
+	}
+	return share
+}
+
 // decide draws the random numbers and asks the policy.
 func (e *Entry) decide(c *call, now time.Time) (chooser.Decision, model.Quality) {
 	key := chooser.Key{Service: c.service, Organisation: c.org().Organisation}
--- a/internal/watcher/gate.go
+++ b/internal/watcher/gate.go
@@ -12,7 +12,7 @@
 func (w *Watcher) Standing(now time.Time) Standing {
 	e := Evidence{Confirmed: w.feed.Confirmed(), Heard: map[model.RegionID]time.Time{}}
 	w.mu.Lock()
-	for _, s := range w.View().Sources(w.cfg.Self) {
+	for _, s := range w.sourcesNow() {
 		e.Heard[s.Place.Region] = w.heard[s.Place.Region]
 	}
 	w.mu.Unlock()
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, refreshLimit)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, s := range w.View().Sources(w.cfg.Self) {
+	for _, s := range w.sourcesNow() {
 		wg.Go(func() {
 			if err := w.pollOnce(ctx, s.Control, s.Place.Region, 0); err != nil {
 				w.cfg.Log.Debug().Err(err).Msg("watcher: refresh failed")
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -53,6 +53,13 @@
 	sources map[string]context.CancelFunc
 	refresh chan struct{}
 	started atomic.Bool
+	sourced atomic.Pointer[sourceList]
+}
+
+// sourceList is the sources derived from one view, so that requests need not derive them.
+type sourceList struct {
+	view    *registrar.View
+	sources []model.Instance
 }
 
 // New returns a watcher that knows nothing yet.
@@ -127,7 +134,7 @@
 
 func (w *Watcher) planOnce(ctx context.Context, now time.Time) {
 	wanted := map[string]model.Instance{}
-	for _, s := range w.View().Sources(w.cfg.Self) {
+	for _, s := range w.sourcesNow() {
 		wanted[s.Control] = s
 	}
 	w.mu.Lock()
@@ -153,6 +160,17 @@
 	}
 }
 
+// sourcesNow returns the relays that this process listens to.
+func (w *Watcher) sourcesNow() []model.Instance {
+	view := w.View()
+	if l := w.sourced.Load(); l != nil && l.view == view {
+		return l.sources
+	}
+	l := &sourceList{view: view, sources: view.Sources(w.cfg.Self)}
+	w.sourced.Store(l)
+	return l.sources
+}
+
 func (w *Watcher) listen(ctx context.Context, source model.Instance) {
 	for ctx.Err() == nil {
 		if err := w.pollOnce(ctx, source.Control, source.Place.Region, pollWait); err != nil && ctx.Err() == nil {
--- a/pkg/model/settings.go
+++ b/pkg/model/settings.go
@@ -53,6 +53,10 @@
 	Time        time.Duration
 	Connections int
 	Keep        Bytes
+	// Memory bounds the request bodies held at once, Organisation the requests at once of
+	// an organisation whose document sets no concurrency.
+	Memory       Bytes
+	Organisation int
 }
 
 // LedgerSettings configures the kept log: Shards for claims and pins, which callers wait
--- a/pkg/parser/settings.go
+++ b/pkg/parser/settings.go
@@ -13,20 +13,22 @@
 
 // Defaults of settings that an operator rarely changes.
 const (
-	defaultLease       = 3 * time.Second
-	defaultFlush       = 100 * time.Millisecond
-	defaultShards      = 4
-	defaultUsage       = 8
-	defaultBody        = 4 << 20
-	defaultHeader      = 64 << 10
-	defaultKeep        = 32 << 20
-	defaultConnections = 4096
-	defaultTime        = 10 * time.Minute
-	defaultDrainLag    = 2 * time.Second
-	defaultGrace       = 2 * time.Minute
-	minSecretLength    = 16
-	defaultFirst       = 380 * time.Millisecond
-	defaultBetween     = 34 * time.Millisecond
+	defaultLease        = 3 * time.Second
+	defaultFlush        = 100 * time.Millisecond
+	defaultShards       = 4
+	defaultUsage        = 8
+	defaultBody         = 4 << 20
+	defaultHeader       = 64 << 10
+	defaultKeep         = 32 << 20
+	defaultBodies       = 256 << 20
+	defaultOrganisation = 1024
+	defaultConnections  = 4096
+	defaultTime         = 10 * time.Minute
+	defaultDrainLag     = 2 * time.Second
+	defaultGrace        = 2 * time.Minute
+	minSecretLength     = 16
+	defaultFirst        = 380 * time.Millisecond
+	defaultBetween      = 34 * time.Millisecond
 )
 
 // ParseSettings reads the settings of one process; the error is a Faults.
@@ -139,13 +141,15 @@
 
 func readLimits(s *section) model.Limits {
 	l := model.Limits{
-		Body:        optional(s, "body", defaultBody, model.ParseBytes),
-		Header:      optional(s, "header", defaultHeader, model.ParseBytes),
-		Time:        optional(s, "time", defaultTime, model.ParseDuration),
-		Connections: optional(s, "connections", defaultConnections, whole(1, 1_000_000)),
-		Keep:        optional(s, "keep", defaultKeep, model.ParseBytes),
-	}
-	s.close("body", "header", "time", "connections", "keep")
+		Body:         optional(s, "body", defaultBody, model.ParseBytes),
+		Header:       optional(s, "header", defaultHeader, model.ParseBytes),
+		Time:         optional(s, "time", defaultTime, model.ParseDuration),
+		Connections:  optional(s, "connections", defaultConnections, whole(1, 1_000_000)),
+		Keep:         optional(s, "keep", defaultKeep, model.ParseBytes),
+		Memory:       optional(s, "memory", defaultBodies, model.ParseBytes),
+		Organisation: optional(s, "organisation", defaultOrganisation, whole(1, 1_000_000)),
+	}
+	s.close("body", "header", "time", "connections", "keep", "memory", "organisation")
 	return l
 }
 
