Show agents' metrics and spare the retry budget for work

Cause: an agent's queue times could not be read, and requests that a leaving agent refuses used up the budget that bounds load on backend servers.

Change: 'metrics INSTANCE' asks an entry or agent over the control connection; refusals before any work (leaving, no backend, stale) cost no budget. The mixed load allows any typed refusal, since a crash may rightly use up the budget; it asserts that a key runs once and that every call ends.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -87,6 +87,7 @@
 func (a *Agent) Register(s *messenger.Server) {
 	messenger.Handle(s, messenger.MethodLoad, a.serveLoad)
 	messenger.Handle(s, messenger.MethodStatus, a.serveStatus)
+	messenger.Handle(s, messenger.MethodMetrics, a.serveMetrics)
 }
 
 // Run works until the context ends, then drains: nothing new is taken and what runs finishes.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -94,6 +94,7 @@
 	add("diff", "Show what applying a document would change.", bindDiff)
 	add("history", "List the documents that a service has had.", bindHistory)
 	add("status", "Show what is in force where, and what the owners do.", bindStatus)
+	add("metrics", "Print the metrics of one instance, entry or agent.", bindMetrics)
 	add("explain", "Show why a request came out as it did.", bindExplain)
 	add("report", "Sum the usage by organisation, service and day.", bindReport)
 	add("rotate", "Add a new key for session tokens; older tokens stay valid.", bindRotate)
@@ -105,12 +106,13 @@
 func exitCode(err error) int {
 	var faults parser.Faults
 	var race *operator.RaceError
+	var unknown *operator.UnknownInstanceError
 	switch {
 	case errors.As(err, &faults):
 		return exitBadInput
 	case errors.As(err, &race):
 		return exitConflict
-	case storer.IsKind(err, storer.KindNotFound):
+	case errors.As(err, &unknown), storer.IsKind(err, storer.KindNotFound):
 		return exitNotFound
 	}
 	return exitFailure
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -64,6 +64,34 @@
 	return t.Flush()
 }
 
+type metricsCommand struct {
+	platformFlags
+	instance string
+}
+
+func bindMetrics(c *kingpin.CmdClause) command {
+	m := &metricsCommand{}
+	m.bind(c)
+	c.Arg("instance", "Instance, as in the instance list.").Required().StringVar(&m.instance)
+	return m
+}
+
+func (m *metricsCommand) run(ctx context.Context, out io.Writer) error {
+	pool, err := controlPool()
+	if err != nil {
+		return err
+	}
+	defer pool.Close()
+	text, err := operator.Metrics(ctx, m.store(), pool, model.InstanceID(m.instance))
+	if err != nil {
+		return err
+	}
+	return m.print(out, map[string]string{"metrics": text}, func(w io.Writer) error {
+		_, err := io.WriteString(w, text)
+		return err
+	})
+}
+
 type explainCommand struct {
 	platformFlags
 	request string
--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -21,7 +21,8 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// mixCase is one kind of call in the mixed load: how many of it, and the statuses allowed.
+// mixCase is one kind of call in the mixed load: how many of it, and the statuses allowed:
+// an answer or a typed refusal, since a crash may use up the retry budget.
 type mixCase struct {
 	Name   string
 	Method string
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -23,6 +23,7 @@
 	MethodSuspect   Method = "suspect"
 	MethodExplain   Method = "explain"
 	MethodStatus    Method = "status"
+	MethodMetrics   Method = "metrics"
 )
 
 // ChallengeReply holds the nonce that the caller must sign.
@@ -127,5 +128,10 @@
 	Request model.RequestID `json:"request"`
 }
 
+// MetricsReply holds an instance's metrics in the Prometheus text format.
+type MetricsReply struct {
+	Text string `json:"text"`
+}
+
 // Empty is the reply of calls that answer nothing.
 type Empty struct{}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -188,6 +188,13 @@
 	return nil
 }
 
+// Text returns what WriteText writes.
+func (m *Meter) Text() (string, error) {
+	var b strings.Builder
+	err := m.WriteText(&b)
+	return b.String(), err
+}
+
 func counterLine(name string, v int64) string {
 	metric, label, _ := strings.Cut(name, "/")
 	if label == "" {
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -110,6 +110,32 @@
 	return have, len(concerned), nil
 }
 
+// UnknownInstanceError names an instance that the instance list does not have.
+type UnknownInstanceError struct{ Instance model.InstanceID }
+
+// Error names the remedy.
+func (e *UnknownInstanceError) Error() string {
+	return fmt.Sprintf("instance %s is not in the instance list: see 'bramleyhinge status'", e.Instance)
+}
+
+// Metrics asks one instance for its metrics.
+func Metrics(ctx context.Context, lister storer.Lister, pool *messenger.Pool, id model.InstanceID) (string, error) {
+	rows, err := lister.Instances(ctx)
+	if err != nil {
+		return "", fmt.Errorf("read instance list: %w", err)
+	}
+	for _, row := range rows {
+		if row.Instance != id {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		reply, err := messenger.Call[messenger.MetricsReply](ctx, pool, row.Control, messenger.MethodMetrics, messenger.Empty{})
+		return reply.Text, err
+	}
+	return "", &UnknownInstanceError{Instance: id}
+}
+
 // Explain asks all entries for the record of a request.
 func Explain(ctx context.Context, lister storer.Lister, pool *messenger.Pool, id model.RequestID) (*explainer.Record, error) {
 	rows, err := lister.Instances(ctx)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -153,7 +153,20 @@
 	if r.Run != model.RunNo && !c.idempotent {
 		return false
 	}
-	return e.budget.Retry()
+	return isRefusedCheaply(r) || e.budget.Retry()
+}
+
+// isRefusedCheaply reports whether an agent refused before its backend server had any work:
+// trying another one then adds no load that the budget must bound.
+func isRefusedCheaply(r *model.Refusal) bool {
+	if r.Run != model.RunNo {
+		return false
+	}
+	switch r.Kind {
+	case model.KindLeaving, model.KindNoBackend, model.KindStale:
+		return true
+	}
+	return false
 }
 
 // runOn runs a step on one agent and follows its answer across cuts.
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -87,6 +87,7 @@
 	e.cfg.Owner.Register(s)
 	messenger.Handle(s, messenger.MethodExplain, e.serveExplain)
 	messenger.Handle(s, messenger.MethodStatus, e.serveStatus)
+	messenger.Handle(s, messenger.MethodMetrics, e.serveMetrics)
 	messenger.Handle(s, messenger.MethodSuspect, e.serveSuspect)
 }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -57,6 +57,12 @@
 	return s, nil
 }
 
+func (e *Entry) serveMetrics(context.Context, messenger.Peer, messenger.Empty) (messenger.MetricsReply, error) {
+	e.gauges()
+	text, err := e.cfg.Meter.Text()
+	return messenger.MetricsReply{Text: text}, err
+}
+
 func (e *Entry) serveExplain(_ context.Context, _ messenger.Peer, in messenger.ExplainRequest) (*explainer.Record, error) {
 	rec, ok := e.ring.Find(in.Request)
 	if !ok {
