Back off when many processes start during an outage

Cause: 1,310 processes that start while the platform is down would each read it three to five times a second, more than it takes.

Change: the first reading and the signing keys back off to 3 s and 10 s with jitter. Result: tests pass; the rate at that size is computed, not measured.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -16,10 +16,9 @@
 )
 
 const (
-	maxAttempts  = 3
-	resumeTries  = 6
-	resumePause  = 100 * time.Millisecond
-	silenceLimit = 15 * time.Second
+	maxAttempts = 3
+	resumeTries = 6
+	resumePause = 100 * time.Millisecond
 )
 
 // step is one run of a request on one version; a cascade has two.
--- a/internal/signer/signer.go
+++ b/internal/signer/signer.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	tokenPrefix = "s1"
 	secretSize  = 32
 	reloadEvery = time.Minute
+	firstRetry  = 200 * time.Millisecond
+	maxRetry    = 10 * time.Second
 	// keysKept is how many older keys still verify after a rotation.
 	keysKept = 4
 )
@@ -80,14 +83,17 @@
 
 // Run loads the keys and reloads them at intervals.
 func (s *Signer) Run(ctx context.Context) {
-	pause := 200 * time.Millisecond
+	wait := firstRetry
 	for ctx.Err() == nil {
-		if err := s.Load(ctx, time.Now()); err == nil {
-			pause = reloadEvery
+		pause := reloadEvery
+		if err := s.Load(ctx, time.Now()); err != nil {
+			pause = wait
+			wait = min(2*wait, maxRetry)
 		}
+		// Jitter keeps many entries from reading at the same moment.
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(pause/2 + mathrand.N(pause)):
 		}
 	}
 }
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -24,9 +24,11 @@
 	rowsEvery    = time.Second
 	plannerEvery = 250 * time.Millisecond
 	retryPause   = 200 * time.Millisecond
-	refreshLimit = 700 * time.Millisecond
-	readsPerSec  = 0.5
-	readBurst    = 2
+	// maxRetryPause bounds the pause of a process that has not started yet.
+	maxRetryPause = 3 * time.Second
+	refreshLimit  = 700 * time.Millisecond
+	readsPerSec   = 0.5
+	readBurst     = 2
 )
 
 // Config configures a Watcher. Scope limits it to one service; Peers are control
@@ -107,6 +109,7 @@
 // bootstrap reads the platform and peers until one answers; it takes the highest of all,
 // since the platform's first answer may be a stale one.
 func (w *Watcher) bootstrap(ctx context.Context) {
+	wait := retryPause
 	for ctx.Err() == nil && !w.Ready() {
 		w.rowsOnce(ctx)
 		w.listOnce(ctx)
@@ -116,7 +119,9 @@
 			}
 		}
 		if w.feed.Confirmed().IsZero() {
-			pause(ctx, retryPause+rand.N(retryPause))
+			// Many processes may start at once while the platform is down.
+			pause(ctx, wait/2+rand.N(wait))
+			wait = min(2*wait, maxRetryPause)
 			continue
 		}
 		w.ask(ctx)
