Decide again when an agent knows a newer document

Cause: in the moments after a withdrawal an entry that had not heard of it passed the agent's refusal (410, run: no) on to callers that had named no version.

Change: the entry catches up and decides once more, by the newer document; a caller that asked for the withdrawn version by name still gets the agent's refusal.

Before: the new section of withdrawn.txtar got 410. After: it gets an answer from pattern@3; three runs pass.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -149,7 +149,44 @@
 	return d, target
 }
 
+// runModel decides and runs. An agent that knows a newer document refuses what this entry
+// still allows; the entry then catches up and decides once more.
 func (e *Entry) runModel(c *call, w http.ResponseWriter) *model.Refusal {
+	pinned := c.pinned
+	refusal := e.decideAndRun(c, w)
+	if refusal == nil || refusal.Kind != model.KindWithdrawn || refusal.Run != model.RunNo || pinned != "" {
+		return refusal
+	}
+	if !e.catchUp(c) {
+		return refusal
+	}
+	next := e.decideAndRun(c, w)
+	if next != nil && next.Kind == model.KindUnknownModel {
+		// The withdrawn version was asked for by name, so its refusal says more.
+		return refusal
+	}
+	return next
+}
+
+// catchUp takes the newest document for the call, and reports whether it is newer.
+func (e *Entry) catchUp(c *call) bool {
+	if !e.cfg.Watcher.CatchUp(c.ctx, c.service, c.access.Service.Revision+1) {
+		return false
+	}
+	s := e.cfg.Watcher.Catalogue().Services[c.service]
+	if s.Document == nil {
+		return false
+	}
+	org, ok := s.Document.FindOrganisation(c.org().Organisation)
+	if !ok {
+		return false
+	}
+	c.access = watcher.Access{Service: s, Organisation: org}
+	c.note(explainer.Step{What: "caught up", Why: "an agent knows a newer document"})
+	return true
+}
+
+func (e *Entry) decideAndRun(c *call, w http.ResponseWriter) *model.Refusal {
 	d, _ := e.decide(c, time.Now())
 	if d.Refusal != nil {
 		return d.Refusal
