Limit an organisation's tokens and money

Change: tokens and spend in the document; a request is charged when it ended, and a debt keeps later ones out until it is paid back; each entry has its part by demand, from the owner, or an even one.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -33,6 +33,8 @@
 	since   time.Time
 	grant   model.Grant
 	until   time.Time
+	tokens  account
+	spent   account
 }
 
 // New returns a limiter without limits.
@@ -50,6 +52,9 @@
 	if e.running >= share.Concurrency {
 		return model.Refuse(model.KindOverLimit, "the organisation has as many requests running as its document allows: wait for one to end").WithRetry(time.Second)
 	}
+	if wait := e.debt(o, share, now); wait > 0 {
+		return model.Refuse(model.KindOverLimit, "the organisation has used the tokens or money that its document allows for now: wait, or raise tokens or spend").WithRetry(max(wait, time.Second))
+	}
 	if o.Rate > 0 && !e.allow(share.Rate, now) {
 		return model.Refuse(model.KindOverLimit, "the organisation is over its rate: slow down").WithRetry(time.Second)
 	}
@@ -64,6 +69,23 @@
 	l.entries[k].running--
 }
 
+// debt brings the accounts up to date and returns how long the longer debt lasts.
+func (e *entry) debt(o model.Organisation, share model.Grant, now time.Time) time.Duration {
+	tokens, spend := float64(o.Tokens)*float64(share.Share), o.Spend.PerSecond()*float64(share.Share)
+	e.tokens.refill(tokens, now)
+	e.spent.refill(spend, now)
+	return max(e.tokens.wait(tokens), e.spent.wait(spend))
+}
+
+// Charge takes what a finished request used.
+func (l *Limiter) Charge(k Key, tokens int, cost model.Money, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(k, now)
+	e.tokens.level -= float64(tokens)
+	e.spent.level -= float64(cost)
+}
+
 // Grant sets the part that the service's owner gave, valid until a time.
 func (l *Limiter) Grant(k Key, g model.Grant, until, now time.Time) {
 	l.mu.Lock()
--- a/internal/limiter/split_test.go
+++ b/internal/limiter/split_test.go
@@ -94,3 +94,33 @@
 		t.Errorf("admitted %d after the grant, want an even share of 2", got)
 	}
 }
+
+// TestDebt checks that tokens and money used are paid back before more is admitted.
+func TestDebt(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	even := model.Grant{Concurrency: 100, Share: 0.5}
+	cases := []struct {
+		name   string
+		org    model.Organisation
+		tokens int
+		cost   model.Money
+		want   map[time.Duration]bool
+	}{
+		{"tokens", model.Organisation{Tokens: 100}, 1000, 0, map[time.Duration]bool{0: false, 9 * time.Second: false, 11 * time.Second: true}},
+		{"money", model.Organisation{Spend: model.Spend(72 * model.Dollar)}, 0, model.Dollar / 5, map[time.Duration]bool{0: false, 9 * time.Second: false, 11 * time.Second: true}},
+		{"no limit", model.Organisation{}, 1 << 30, 1 << 40, map[time.Duration]bool{0: true}},
+	}
+	for _, c := range cases {
+		for after, want := range c.want {
+			l := New()
+			k := Key{"s", "o"}
+			if l.Admit(k, c.org, even, now) != nil {
+				t.Fatalf("%s: the first request was refused", c.name)
+			}
+			l.Charge(k, c.tokens, c.cost, now)
+			if got := l.Admit(k, c.org, even, now.Add(after)) == nil; got != want {
+				t.Errorf("%s: admitted %v after %v, want %v", c.name, got, after, want)
+			}
+		}
+	}
+}
--- a/internal/owner/desk.go
+++ b/internal/owner/desk.go
@@ -209,7 +209,7 @@
 	}
 	reply := messenger.ReportReply{Grants: map[model.OrganisationID]model.Grant{}, Valid: valid}
 	for _, o := range doc.Organisations {
-		if o.Rate > 0 || o.Concurrency > 0 {
+		if o.Rate > 0 || o.Concurrency > 0 || o.Tokens > 0 || o.Spend > 0 {
 			reply.Grants[o.Organisation] = d.grant(o, in.Entry, entries, now)
 		}
 	}
@@ -230,6 +230,19 @@
 	}
 }
 
+// parts turns demands into parts of their sum.
+func parts(demand map[model.InstanceID]float64) map[model.InstanceID]float64 {
+	sum := 0.0
+	for _, d := range demand {
+		sum += d
+	}
+	out := make(map[model.InstanceID]float64, len(demand))
+	for e, d := range demand {
+		out[e] = d / max(sum, 1e-9)
+	}
+	return out
+}
+
 func (d *desk) grant(o model.Organisation, entry model.InstanceID, entries []model.Instance, now time.Time) model.Grant {
 	ids := make([]model.InstanceID, 0, len(entries))
 	rates := map[model.InstanceID]float64{}
@@ -242,6 +255,7 @@
 		}
 	}
 	return model.Grant{
+		Share:       model.Share(limiter.Split(1, ids, parts(rates))[entry]),
 		Rate:        model.Rate(limiter.Split(float64(o.Rate), ids, rates)[entry]),
 		Concurrency: limiter.SplitWhole(o.Concurrency, ids, running)[entry],
 	}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -116,7 +116,8 @@
 // without a concurrency has this instance's bound, so that no caller holds all of it.
 func (e *Entry) evenShare(key limiter.Key, o model.Organisation) model.Grant {
 	rows := e.cfg.Watcher.View().Entries()
-	share := model.Grant{Rate: o.Rate / model.Rate(max(len(rows), 1)), Concurrency: e.cfg.Settings.Limits.Organisation}
+	n := max(len(rows), 1)
+	share := model.Grant{Rate: o.Rate / model.Rate(n), Share: 1 / model.Share(n), Concurrency: e.cfg.Settings.Limits.Organisation}
 	if o.Concurrency > 0 {
 		ids := make([]model.InstanceID, len(rows))
 		for i, row := range rows {
--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -33,6 +34,7 @@
 			u.Cost += c.doc().Egress.Cost(len(c.body))
 		}
 	}
+	e.limits.Charge(limiter.Key{Service: c.service, Organisation: u.Organisation}, u.Input+u.Output, u.Cost, time.Now())
 	e.cfg.Meter.Cost(u.Organisation, c.class.Class, u.Cost)
 	e.cfg.Records.Bill(model.Record{Kind: model.RecordUsage, Key: c.bill(), Usage: &u}, func() {
 		for _, s := range steps {
--- a/pkg/model/document.go
+++ b/pkg/model/document.go
@@ -108,6 +108,8 @@
 	Versions     []VersionID
 	Target       Quality
 	Rate         Rate
+	Tokens       Rate
+	Spend        Spend
 	Concurrency  int
 	Priority     Priority
 	Weight       float64
--- a/pkg/model/record.go
+++ b/pkg/model/record.go
@@ -68,8 +68,10 @@
 	Done    bool   `json:"done,omitempty"`
 }
 
-// Grant is an entry's part of an organisation's limits.
+// Grant is an entry's part of an organisation's limits; Share is its part of the limits on
+// tokens and spending.
 type Grant struct {
-	Rate        Rate `json:"rate"`
-	Concurrency int  `json:"concurrency"`
+	Rate        Rate  `json:"rate"`
+	Concurrency int   `json:"concurrency"`
+	Share       Share `json:"share"`
 }
