--- a/internal/chooser/book.go
+++ b/internal/chooser/estimator.go
@@ -40,94 +40,94 @@
 	Organisation model.OrganisationID
 }
 
-// Book holds what ratings have taught, one account for each organisation and service.
-type Book struct {
+// Estimator holds what ratings have taught, one learner for each organisation and service.
+type Estimator struct {
 	mu       sync.RWMutex
-	accounts map[Key]*account
+	learners map[Key]*learner
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{accounts: map[Key]*account{}} }
+// NewEstimator returns an estimator that has seen nothing.
+func NewEstimator() *Estimator { return &Estimator{learners: map[Key]*learner{}} }
 
-func (b *Book) account(k Key) *account {
-	b.mu.RLock()
-	a := b.accounts[k]
-	b.mu.RUnlock()
-	if a != nil {
-		return a
+func (e *Estimator) learner(k Key) *learner {
+	e.mu.RLock()
+	l := e.learners[k]
+	e.mu.RUnlock()
+	if l != nil {
+		return l
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if a = b.accounts[k]; a == nil {
-		a = &account{stats: map[model.VersionID]*stats{}}
-		b.accounts[k] = a
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l = e.learners[k]; l == nil {
+		l = &learner{stats: map[model.VersionID]*stats{}}
+		e.learners[k] = l
 	}
-	return a
+	return l
 }
 
 // Estimates returns the beliefs on all versions for a request with the given input size,
 // and the target corrected by the surplus so far.
-func (b *Book) Estimates(k Key, d *model.Document, target model.Quality, input int) (map[model.VersionID]Estimate, model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
+func (e *Estimator) Estimates(k Key, d *model.Document, target model.Quality, input int) (map[model.VersionID]Estimate, model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	z := normalQuantile(float64(d.Confidence))
-	reliability := a.pairs.reliability()
+	reliability := l.pairs.reliability()
 	out := make(map[model.VersionID]Estimate, len(d.Versions))
 	for _, v := range d.Versions {
-		s := a.stats[v.Version]
+		s := l.stats[v.Version]
 		if s == nil {
 			s = &stats{}
 		}
 		out[v.Version] = s.estimate(v, z, input)
 	}
 	if d.Cascade {
-		a.cascades(d, out, reliability)
+		l.cascades(d, out, reliability)
 	}
-	correction := math.Max(-maxCorrection, math.Min(maxCorrection, (a.surplus-doubtFactor*a.doubt(reliability))/horizon))
+	correction := math.Max(-maxCorrection, math.Min(maxCorrection, (l.surplus-doubtFactor*l.doubt(reliability))/horizon))
 	return out, target - model.Quality(correction)
 }
 
 // Begin notes a decision: until its rating arrives, the expected quality stands for it.
-func (b *Book) Begin(k Key, d Decision, target model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
+func (e *Estimator) Begin(k Key, d Decision, target model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if d.Second == "" {
-		a.asked++
+		l.asked++
 	}
-	a.addSurplus(float64(d.Expected - target))
+	l.addSurplus(float64(d.Expected - target))
 }
 
 // Rate takes the rating of an answer that was given; expected is what Begin counted.
-func (b *Book) Rate(k Key, v model.VersionID, rating, expected model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.correct(rating, expected)
-	a.learn(v, float64(rating))
+func (e *Estimator) Rate(k Key, v model.VersionID, rating, expected model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.correct(rating, expected)
+	l.learn(v, float64(rating))
 }
 
 // StepUp notes that a cascade goes on to its second version and returns the quality to
 // expect of it, which is that of a harder request; expected is what Begin counted.
-func (b *Book) StepUp(k Key, v, second model.VersionID, first, expected model.Quality, prior float64) model.Quality {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.asked++
-	next := model.Quality(a.version(v).seconds[second].mean(bin(float64(first)), prior))
-	a.addSurplus(float64(next - expected))
+func (e *Estimator) StepUp(k Key, v, second model.VersionID, first, expected model.Quality, prior float64) model.Quality {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked++
+	next := model.Quality(l.version(v).seconds[second].mean(bin(float64(first)), prior))
+	l.addSurplus(float64(next - expected))
 	return next
 }
 
 // RateSecond takes the rating of a cascade's second answer, which was given; first is the
 // rating that made the cascade step up.
-func (b *Book) RateSecond(k Key, v, second model.VersionID, first, rating, expected model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.correct(rating, expected)
-	s := a.version(v)
+func (e *Estimator) RateSecond(k Key, v, second model.VersionID, first, rating, expected model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.correct(rating, expected)
+	s := l.version(v)
 	if s.seconds == nil {
 		s.seconds = map[model.VersionID]*binned{}
 	}
@@ -138,43 +138,43 @@
 }
 
 // Learn takes the rating of a cascade's first answer.
-func (b *Book) Learn(k Key, v model.VersionID, rating model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.learn(v, float64(rating))
+func (e *Estimator) Learn(k Key, v model.VersionID, rating model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.learn(v, float64(rating))
 }
 
 // Settle replaces the expected quality of a request by the one it was given, when the
 // rating that chose the answer was already learnt.
-func (b *Book) Settle(k Key, rating, expected model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.addSurplus(float64(rating - expected))
-	a.trusted = math.Min(a.trusted+1, maxRated)
+func (e *Estimator) Settle(k Key, rating, expected model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addSurplus(float64(rating - expected))
+	l.trusted = math.Min(l.trusted+1, maxRated)
 }
 
 // Trust returns the quality to expect of an answer that was chosen for its rating: a
 // noisy rating regresses towards the version's mean.
-func (b *Book) Trust(k Key, v model.VersionID, rating model.Quality) model.Quality {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := a.stats[v]
+func (e *Estimator) Trust(k Key, v model.VersionID, rating model.Quality) model.Quality {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stats[v]
 	if s == nil || s.n == 0 {
 		return rating
 	}
-	return model.Quality(s.trusted(bin(float64(rating)), float64(rating), a.pairs.reliability()))
+	return model.Quality(s.trusted(bin(float64(rating)), float64(rating), l.pairs.reliability()))
 }
 
 // Repeat takes two ratings of the same answer of a version.
-func (b *Book) Repeat(k Key, v model.VersionID, first, second model.Quality) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.pairs.add(float64(first), float64(second))
-	s := a.version(v)
+func (e *Estimator) Repeat(k Key, v model.VersionID, first, second model.Quality) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pairs.add(float64(first), float64(second))
+	s := l.version(v)
 	if s.again == nil {
 		s.again = &binned{}
 	}
@@ -182,11 +182,11 @@
 }
 
 // Output notes the number of tokens of an answer.
-func (b *Book) Output(k Key, v model.VersionID, tokens int) {
-	a := b.account(k)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := a.version(v)
+func (e *Estimator) Output(k Key, v model.VersionID, tokens int) {
+	l := e.learner(k)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.version(v)
 	if s.output == 0 {
 		s.output = float64(tokens)
 	}
--- a/internal/chooser/account.go
+++ b/internal/chooser/learner.go
@@ -7,8 +7,8 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// account is one organisation's standing against its target.
-type account struct {
+// learner is one organisation's standing against its target.
+type learner struct {
 	mu      sync.Mutex
 	stats   map[model.VersionID]*stats
 	pairs   pairs
@@ -24,17 +24,17 @@
 
 // doubt is the standard deviation of the surplus that comes from noise in the ratings: a
 // mean that only seems to meet its target is not enough.
-func (a *account) doubt(reliability float64) float64 {
-	noise := (1 - reliability) * a.variance()
+func (l *learner) doubt(reliability float64) float64 {
+	noise := (1 - reliability) * l.variance()
 	// What repeated ratings say of accepted answers errs alike for all of them.
-	common := a.trusted * a.trusted * 2 * noise / math.Max(a.pairs.n, 1)
-	return math.Sqrt(a.rated*noise + common)
+	common := l.trusted * l.trusted * 2 * noise / math.Max(l.pairs.n, 1)
+	return math.Sqrt(l.rated*noise + common)
 }
 
 // variance is the mean variance of the ratings over all versions.
-func (a *account) variance() float64 {
+func (l *learner) variance() float64 {
 	n, sum := 0.0, 0.0
-	for _, s := range a.stats {
+	for _, s := range l.stats {
 		if s.n > 0 {
 			m := s.sum / s.n
 			n += s.n
@@ -52,28 +52,28 @@
 
 // correct replaces an expected quality by a rating. A rating that arrives also stands for
 // those that are missing (inverse probability weighting).
-func (a *account) correct(rating, expected model.Quality) {
-	a.arrived++
-	weight := math.Min(maxMissing, math.Max(1, a.asked/a.arrived))
-	a.addSurplus(weight * float64(rating-expected))
-	a.rated = math.Min(a.rated+weight*weight, maxRated)
+func (l *learner) correct(rating, expected model.Quality) {
+	l.arrived++
+	weight := math.Min(maxMissing, math.Max(1, l.asked/l.arrived))
+	l.addSurplus(weight * float64(rating-expected))
+	l.rated = math.Min(l.rated+weight*weight, maxRated)
 }
 
-func (a *account) addSurplus(x float64) {
-	a.surplus = math.Max(-horizon, math.Min(horizon, a.surplus+x))
+func (l *learner) addSurplus(x float64) {
+	l.surplus = math.Max(-horizon, math.Min(horizon, l.surplus+x))
 }
 
-func (a *account) version(v model.VersionID) *stats {
-	s := a.stats[v]
+func (l *learner) version(v model.VersionID) *stats {
+	s := l.stats[v]
 	if s == nil {
 		s = &stats{}
-		a.stats[v] = s
+		l.stats[v] = s
 	}
 	return s
 }
 
-func (a *account) learn(v model.VersionID, rating float64) {
-	s := a.version(v)
+func (l *learner) learn(v model.VersionID, rating float64) {
+	s := l.version(v)
 	if s.n >= memory {
 		s.scale(1 - 1/memory)
 	}
@@ -84,9 +84,9 @@
 }
 
 // cascades adds the thresholds from each version to each dearer one.
-func (a *account) cascades(d *model.Document, out map[model.VersionID]Estimate, reliability float64) {
+func (l *learner) cascades(d *model.Document, out map[model.VersionID]Estimate, reliability float64) {
 	for _, first := range d.Versions {
-		s := a.stats[first.Version]
+		s := l.stats[first.Version]
 		if s == nil || s.n < minCascade {
 			continue
 		}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -33,8 +33,8 @@
 	since   time.Time
 	grant   model.Grant
 	until   time.Time
-	tokens  account
-	spent   account
+	tokens  debtBucket
+	spent   debtBucket
 }
 
 // New returns a limiter without limits.
@@ -69,7 +69,7 @@
 	l.entries[k].running--
 }
 
-// debt brings the accounts up to date and returns how long the longer debt lasts.
+// debt brings the buckets up to date and returns how long the longer debt lasts.
 func (e *entry) debt(o model.Organisation, share model.Grant, now time.Time) time.Duration {
 	tokens, spend := float64(o.Tokens)*float64(share.Share), o.Spend.PerSecond()*float64(share.Share)
 	e.tokens.refill(tokens, now)
--- a/internal/measurer/capacity.go
+++ b/internal/measurer/capacity.go
@@ -118,7 +118,7 @@
 	reports := reportsToOwner / sizeEntries * sizeServices
 	lines := sizeRequests / sizeEntries
 	return role{
-		name: "entry", state: fmt.Sprintf("%.0f documents, %.0f instance rows, %.0f agents, books of %.0f organisations, at most 4,096 decision records", sizeServices, c.processes, agents, sizeOrgs),
+		name: "entry", state: fmt.Sprintf("%.0f documents, %.0f instance rows, %.0f agents, estimates for %.0f organisations, at most 4,096 decision records", sizeServices, c.processes, agents, sizeOrgs),
 		mech: "as the agent; load long polls to a subset of 16 agents a service; one report to each owner in turn; usage lines in groups to their writers",
 		msgs: l.msgs + polls + reports + 4, bytes: l.bytes + polls*c.s.Get("load report bytes") + reports*c.reportBytes() + lines*c.s.Get("usage line bytes"),
 		cpu: l.cpu + polls*half*c.s.Get("load report time") + reports*c.reportTime() + lines*c.s.Get("ledger record time"),
--- a/internal/measurer/retries.go
+++ b/internal/measurer/retries.go
@@ -31,7 +31,7 @@
 	var t timeline
 	running := make([]int, retryServers)
 	budget := router.NewRetryBudget()
-	cuts := make([]router.Cut, retryServers)
+	breakers := make([]router.Breaker, retryServers)
 	faulty := func(k int, now float64) bool {
 		if now < retryFrom || now > retryTo {
 			return false
@@ -48,11 +48,11 @@
 		if now >= retryFrom && now <= retryTo {
 			tries++
 		}
-		k := pickUncut(cuts, running, naive, now, r)
+		k := pickClosed(breakers, running, naive, now, r)
 		failed := faulty(k, now) || running[k] >= 2*retrySlots
 		if failed {
 			if !naive {
-				cuts[k].Failed(epoch.Add(span(now)), r.Float64())
+				breakers[k].Failed(epoch.Add(span(now)), r.Float64())
 			}
 			if n < retryAttempts && (naive || budget.Retry()) {
 				t.add(now+0.05, func(at float64) { attempt(at, n+1) })
@@ -63,7 +63,7 @@
 		slow := max(1, float64(running[k])/retrySlots)
 		t.add(now+retryService*slow, func(ended float64) {
 			running[k]--
-			cuts[k].Succeeded()
+			breakers[k].Succeeded()
 			answered[min(int(ended), len(answered)-1)]++
 		})
 	}
@@ -86,16 +86,16 @@
 	return out
 }
 
-// pickUncut takes the less loaded of two servers that are not cut off.
-func pickUncut(cuts []router.Cut, running []int, naive bool, now float64, r *rand.Rand) int {
+// pickClosed takes the less loaded of two servers that are not cut off.
+func pickClosed(breakers []router.Breaker, running []int, naive bool, now float64, r *rand.Rand) int {
 	draw := func() int {
 		for range 20 {
-			k := r.IntN(len(cuts))
-			if naive || !cuts[k].Active(epoch.Add(span(now))) {
+			k := r.IntN(len(breakers))
+			if naive || !breakers[k].Open(epoch.Add(span(now))) {
 				return k
 			}
 		}
-		return r.IntN(len(cuts))
+		return r.IntN(len(breakers))
 	}
 	a, b := draw(), draw()
 	if running[b] < running[a] {
--- a/internal/measurer/versions.go
+++ b/internal/measurer/versions.go
@@ -115,46 +115,46 @@
 	return out
 }
 
-// bookPolicy is the router's own policy with ratings that come late or never.
-type bookPolicy struct {
-	doc   *model.Document
-	org   model.Organisation
-	book  *chooser.Book
-	key   chooser.Key
-	r     *rand.Rand
-	late  []func()
-	input int
+// estimatorPolicy is the router's own policy with ratings that come late or never.
+type estimatorPolicy struct {
+	doc       *model.Document
+	org       model.Organisation
+	estimator *chooser.Estimator
+	key       chooser.Key
+	r         *rand.Rand
+	late      []func()
+	input     int
 }
 
-func newBookPolicy(d *model.Document, org model.Organisation, r *rand.Rand) *bookPolicy {
-	return &bookPolicy{doc: d, org: org, book: chooser.NewBook(), key: chooser.Key{Service: d.Service, Organisation: org.Organisation}, r: r, input: promptBytes / 4}
+func newEstimatorPolicy(d *model.Document, org model.Organisation, r *rand.Rand) *estimatorPolicy {
+	return &estimatorPolicy{doc: d, org: org, estimator: chooser.NewEstimator(), key: chooser.Key{Service: d.Service, Organisation: org.Organisation}, r: r, input: promptBytes / 4}
 }
 
-func (p *bookPolicy) decide() chooser.Decision {
-	estimates, target := p.book.Estimates(p.key, p.doc, p.org.Target, p.input)
+func (p *estimatorPolicy) decide() chooser.Decision {
+	estimates, target := p.estimator.Estimates(p.key, p.doc, p.org.Target, p.input)
 	d := chooser.Cheapest{}.Decide(chooser.Input{
 		Document: p.doc, Organisation: p.org, Model: string(p.doc.Service), Estimates: estimates, Target: target,
 		Mix: p.r.Float64(), Explore: p.r.Float64(), Share: p.r.Float64(),
 	})
-	p.book.Begin(p.key, d, p.org.Target)
+	p.estimator.Begin(p.key, d, p.org.Target)
 	return d
 }
 
-func (p *bookPolicy) learn(d chooser.Decision, first, second, again model.Quality, stepped bool) {
-	p.book.Output(p.key, d.Version, outputTokens)
+func (p *estimatorPolicy) learn(d chooser.Decision, first, second, again model.Quality, stepped bool) {
+	p.estimator.Output(p.key, d.Version, outputTokens)
 	if d.Second != "" && p.r.Float64() < repeatShare {
-		p.book.Repeat(p.key, d.Version, first, again)
+		p.estimator.Repeat(p.key, d.Version, first, again)
 	}
 	switch {
 	case d.Second == "":
-		p.after(func() { p.book.Rate(p.key, d.Version, first, d.Expected) })
+		p.after(func() { p.estimator.Rate(p.key, d.Version, first, d.Expected) })
 	case stepped:
-		p.book.Learn(p.key, d.Version, first)
-		expected := p.book.StepUp(p.key, d.Version, d.Second, first, d.Expected, float64(d.Prior))
-		p.after(func() { p.book.RateSecond(p.key, d.Version, d.Second, first, second, expected) })
+		p.estimator.Learn(p.key, d.Version, first)
+		expected := p.estimator.StepUp(p.key, d.Version, d.Second, first, d.Expected, float64(d.Prior))
+		p.after(func() { p.estimator.RateSecond(p.key, d.Version, d.Second, first, second, expected) })
 	default:
-		p.book.Learn(p.key, d.Version, first)
-		p.book.Settle(p.key, p.book.Trust(p.key, d.Version, first), d.Expected)
+		p.estimator.Learn(p.key, d.Version, first)
+		p.estimator.Settle(p.key, p.estimator.Trust(p.key, d.Version, first), d.Expected)
 	}
 	if len(p.late) > ratingDelay {
 		p.late[0]()
@@ -163,7 +163,7 @@
 }
 
 // after lets a rating arrive late, or never.
-func (p *bookPolicy) after(learn func()) {
+func (p *estimatorPolicy) after(learn func()) {
 	if p.r.Float64() < ratingMissing {
 		learn = func() {}
 	}
@@ -251,7 +251,7 @@
 				worst = math.Min(worst, res.quality)
 			}
 		}
-		add("router", newBookPolicy(d, org, newRand(uint64(200+i))))
+		add("router", newEstimatorPolicy(d, org, newRand(uint64(200+i))))
 		add(names[0], fixedPolicy{func() chooser.Decision { return chooser.Decision{Version: "large@1"} }})
 		add(names[1], fixedPolicy{func() chooser.Decision { return chooser.Decision{Version: "small@1"} }})
 		r := newRand(uint64(300 + i))
--- a/internal/owner/desk.go
+++ b/internal/owner/controller.go
@@ -15,18 +15,18 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// deskConfig configures the work for one service during one tenure.
-type deskConfig struct {
+// controllerConfig configures the work for one service during one term.
+type controllerConfig struct {
 	Config
 	Service model.ServiceID
 	Fence   model.Fence
 	Since   time.Time
 }
 
-// desk is the owner's work for one service. All its writes are conditional on revisions
+// controller is the owner's work for one service. All its writes are conditional on revisions
 // that it created itself when it adopted the objects.
-type desk struct {
-	cfg     deskConfig
+type controller struct {
+	cfg     controllerConfig
 	mu      sync.Mutex
 	rollout kept[model.RolloutState]
 	orders  kept[model.OrderSheet]
@@ -38,7 +38,7 @@
 	asked   time.Time
 }
 
-// kept is a stored object that only this tenure writes.
+// kept is a stored object that only this term writes.
 type kept[T any] struct {
 	value    T
 	revision model.Revision
@@ -64,8 +64,8 @@
 // StatusKey returns the key of a service's status object.
 func StatusKey(s model.ServiceID) string { return "status/" + string(s) }
 
-func newDesk(cfg deskConfig) *desk {
-	return &desk{
+func newController(cfg controllerConfig) *controller {
+	return &controller{
 		cfg:     cfg,
 		guard:   guard.New(),
 		stepped: cfg.Since,
@@ -75,7 +75,7 @@
 }
 
 // adopt reads the service's objects and writes each under the new fencing number.
-func (d *desk) adopt(ctx context.Context) error {
+func (d *controller) adopt(ctx context.Context) error {
 	holder := kept[model.Holder]{}
 	if err := read(ctx, d.cfg.Store, watcher.HolderKey(d.cfg.Service), &holder); err != nil {
 		return err
@@ -130,7 +130,7 @@
 }
 
 // work moves the roll-out and repairs the fleet by one step each.
-func (d *desk) work(ctx context.Context, s *watcher.Service, now time.Time) error {
+func (d *controller) work(ctx context.Context, s *watcher.Service, now time.Time) error {
 	if err := d.moveRollout(ctx, s.Declared, now); err != nil {
 		return err
 	}
@@ -141,7 +141,7 @@
 	return d.writeStatus(ctx, repair, s.Fault)
 }
 
-func (d *desk) moveRollout(ctx context.Context, doc *model.Document, now time.Time) error {
+func (d *controller) moveRollout(ctx context.Context, doc *model.Document, now time.Time) error {
 	if doc == nil || doc.Rollout == nil {
 		return nil
 	}
@@ -172,7 +172,7 @@
 	return nil
 }
 
-func (d *desk) writeStatus(ctx context.Context, repair, fault string) error {
+func (d *controller) writeStatus(ctx context.Context, repair, fault string) error {
 	next := Status{Service: d.cfg.Service, Owner: d.cfg.Self.Instance, Fence: d.cfg.Fence, Repair: repair, Fault: fault}
 	if d.rollout.value.Version != "" {
 		state := d.rollout.value
@@ -198,7 +198,7 @@
 
 // report takes one entry's tallies and demand. A new owner gives no grants until those of
 // the last owner have run out.
-func (d *desk) report(in messenger.ReportRequest, doc *model.Document, entries []model.Instance, now time.Time) messenger.ReportReply {
+func (d *controller) report(in messenger.ReportRequest, doc *model.Document, entries []model.Instance, now time.Time) messenger.ReportReply {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	valid := grantIntervals * in.Interval
@@ -216,7 +216,7 @@
 	return reply
 }
 
-func (d *desk) observe(tallies []model.Tally, doc *model.Document) {
+func (d *controller) observe(tallies []model.Tally, doc *model.Document) {
 	if doc.Rollout == nil {
 		return
 	}
@@ -243,7 +243,7 @@
 	return out
 }
 
-func (d *desk) grant(o model.Organisation, entry model.InstanceID, entries []model.Instance, now time.Time) model.Grant {
+func (d *controller) grant(o model.Organisation, entry model.InstanceID, entries []model.Instance, now time.Time) model.Grant {
 	ids := make([]model.InstanceID, 0, len(entries))
 	rates := map[model.InstanceID]float64{}
 	running := map[model.InstanceID]float64{}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,21 +43,21 @@
 type Owner struct {
 	cfg      Config
 	mu       sync.Mutex
-	services map[model.ServiceID]*tenure
+	services map[model.ServiceID]*term
 }
 
-// tenure is this entry's standing towards one service: what it last saw of the lease, and
+// term is this entry's standing towards one service: what it last saw of the lease, and
 // its own work while it holds it.
-type tenure struct {
-	service  model.ServiceID
-	seen     model.Revision
-	seenAt   time.Time
-	held     bool
-	fence    model.Fence
-	revision model.Revision
-	renewed  time.Time
-	since    time.Time
-	desk     *desk
+type term struct {
+	service    model.ServiceID
+	seen       model.Revision
+	seenAt     time.Time
+	held       bool
+	fence      model.Fence
+	revision   model.Revision
+	renewed    time.Time
+	since      time.Time
+	controller *controller
 }
 
 // leaseObject is the stored lease; its revision changes with each renewal.
@@ -71,7 +71,7 @@
 
 // New returns an owner that holds nothing.
 func New(cfg Config) *Owner {
-	return &Owner{cfg: cfg, services: map[model.ServiceID]*tenure{}}
+	return &Owner{cfg: cfg, services: map[model.ServiceID]*term{}}
 }
 
 // Register answers the reports of other entries.
@@ -115,7 +115,7 @@
 // Resign gives all leases up, so that others need not wait for them to run out.
 func (o *Owner) Resign(ctx context.Context) {
 	o.mu.Lock()
-	var held []*tenure
+	var held []*term
 	for _, t := range o.services {
 		if t.held {
 			held = append(held, t)
@@ -129,17 +129,17 @@
 	}
 }
 
-func (t *tenure) acts(now time.Time) bool { return t.held && now.Sub(t.renewed) < actTime }
+func (t *term) acts(now time.Time) bool { return t.held && now.Sub(t.renewed) < actTime }
 
 // round keeps or takes the lease of one service and does one round of its work.
 func (o *Owner) round(ctx context.Context, id model.ServiceID, s *watcher.Service) {
-	t := o.tenure(id)
+	t := o.term(id)
 	now := time.Now()
 	if err := o.keep(ctx, t, now); err != nil {
 		o.cfg.Log.Debug().Err(err).Str("service", string(id)).Msg("owner: lease was not renewed")
 	}
 	o.mu.Lock()
-	acts, d := t.acts(time.Now()), t.desk
+	acts, d := t.acts(time.Now()), t.controller
 	o.mu.Unlock()
 	if !acts {
 		return
@@ -152,26 +152,26 @@
 	}
 }
 
-func (o *Owner) tenure(id model.ServiceID) *tenure {
+func (o *Owner) term(id model.ServiceID) *term {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.services[id]
 	if t == nil {
-		t = &tenure{service: id}
+		t = &term{service: id}
 		o.services[id] = t
 	}
 	return t
 }
 
-func (o *Owner) drop(t *tenure) {
+func (o *Owner) drop(t *term) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	t.held, t.desk = false, nil
+	t.held, t.controller = false, nil
 }
 
 // keep renews a held lease, or takes one that is free, ranked first for this entry, or
 // has not been renewed for the lease time.
-func (o *Owner) keep(ctx context.Context, t *tenure, now time.Time) error {
+func (o *Owner) keep(ctx context.Context, t *term, now time.Time) error {
 	if t.held {
 		if now.Sub(t.renewed) < renewEvery {
 			return nil
@@ -211,7 +211,7 @@
 	return false
 }
 
-func (o *Owner) renew(ctx context.Context, t *tenure, now time.Time) error {
+func (o *Owner) renew(ctx context.Context, t *term, now time.Time) error {
 	rev, err := o.put(ctx, t, t.fence, t.revision, now)
 	if storer.IsKind(err, storer.KindConflict) || storer.IsKind(err, storer.KindNotFound) {
 		o.drop(t)
@@ -226,7 +226,7 @@
 	return nil
 }
 
-func (o *Owner) put(ctx context.Context, t *tenure, fence model.Fence, expect model.Revision, now time.Time) (model.Revision, error) {
+func (o *Owner) put(ctx context.Context, t *term, fence model.Fence, expect model.Revision, now time.Time) (model.Revision, error) {
 	value, err := json.Marshal(leaseObject{Holder: o.cfg.Self.Instance, Fence: fence, At: now})
 	if err != nil {
 		return 0, fmt.Errorf("encode lease: %w", err)
@@ -237,18 +237,18 @@
 // take makes this entry the owner. The revision of the taking write is the fencing number;
 // adopting the service's objects gives them new revisions, so that no write of an earlier
 // owner that is still on its way can take effect.
-func (o *Owner) take(ctx context.Context, t *tenure, expect model.Revision, now time.Time) error {
+func (o *Owner) take(ctx context.Context, t *term, expect model.Revision, now time.Time) error {
 	rev, err := o.put(ctx, t, 0, expect, now)
 	if err != nil {
 		return fmt.Errorf("take lease of %s: %w", t.service, err)
 	}
 	fence := model.Fence(rev)
-	d := newDesk(deskConfig{Config: o.cfg, Service: t.service, Fence: fence, Since: now})
+	d := newController(controllerConfig{Config: o.cfg, Service: t.service, Fence: fence, Since: now})
 	if err := d.adopt(ctx); err != nil {
 		return errors.Join(fmt.Errorf("adopt %s", t.service), err)
 	}
 	o.mu.Lock()
-	t.held, t.fence, t.revision, t.renewed, t.since, t.desk = true, fence, rev, now, now, d
+	t.held, t.fence, t.revision, t.renewed, t.since, t.controller = true, fence, rev, now, now, d
 	o.mu.Unlock()
 	o.cfg.Log.Info().Str("service", string(t.service)).Uint64("fence", uint64(fence)).Msg("owner: took the service")
 	return nil
@@ -262,7 +262,7 @@
 		o.mu.Unlock()
 		return messenger.ReportReply{}, model.Refuse(model.KindUnavailable, "this entry does not own %s: look the owner up again", in.Service)
 	}
-	d := t.desk
+	d := t.controller
 	o.mu.Unlock()
 	s := o.cfg.Watcher.Catalogue().Services[in.Service]
 	if s == nil || s.Document == nil {
--- a/internal/owner/repair.go
+++ b/internal/owner/repair.go
@@ -138,7 +138,7 @@
 
 // repair asks the agents what they have loaded and replaces the order sheet when the plan
 // changes.
-func (d *desk) repair(ctx context.Context, doc *model.Document, now time.Time) (string, error) {
+func (d *controller) repair(ctx context.Context, doc *model.Document, now time.Time) (string, error) {
 	if doc == nil || doc.Kind != model.KindModel || !manages(doc) {
 		return "the document sets no replicas", nil
 	}
@@ -171,7 +171,7 @@
 }
 
 // ask reads all agents' loads; one that does not answer is left out of the plan.
-func (d *desk) ask(ctx context.Context, agents []model.Instance) {
+func (d *controller) ask(ctx context.Context, agents []model.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	loads := map[model.InstanceID]model.Load{}
@@ -195,7 +195,7 @@
 	d.loads = loads
 }
 
-func (d *desk) servers(agents []model.Instance) []Server {
+func (d *controller) servers(agents []model.Instance) []Server {
 	var out []Server
 	for _, a := range agents {
 		if load, ok := d.loads[a.Instance]; ok {
--- a/internal/router/budget.go
+++ b/internal/router/breaker.go
@@ -41,17 +41,17 @@
 }
 
 const (
-	// cutWeight smooths the rate of failures of one agent.
-	cutWeight = 0.2
-	// cutRate is the smoothed rate of failures from which an agent gets nothing.
-	cutRate = 0.35
-	cutFor  = time.Second
-	maxCut  = 4 * time.Second
+	// breakWeight smooths the rate of failures of one agent.
+	breakWeight = 0.2
+	// breakRate is the smoothed rate of failures from which an agent gets nothing.
+	breakRate = 0.35
+	breakFor  = time.Second
+	maxBreak  = 4 * time.Second
 )
 
-// Cut takes an agent that fails too often out of the choice for a while. The zero value
-// is an agent without failures.
-type Cut struct {
+// Breaker is a circuit breaker: it takes an agent that fails too often out of the choice for
+// a while. The zero value is closed.
+type Breaker struct {
 	rate  float64
 	times int
 	until time.Time
@@ -59,23 +59,23 @@
 
 // Failed counts a failure. The pause doubles while failures go on, and jitter in [0, 1)
 // keeps entries from returning together.
-func (c *Cut) Failed(now time.Time, jitter float64) {
-	c.rate += (1 - c.rate) * cutWeight
-	if c.rate < cutRate || now.Before(c.until) {
+func (b *Breaker) Failed(now time.Time, jitter float64) {
+	b.rate += (1 - b.rate) * breakWeight
+	if b.rate < breakRate || now.Before(b.until) {
 		return
 	}
-	pause := min(cutFor<<min(c.times, 4), maxCut)
-	c.times++
-	c.until = now.Add(pause/2 + time.Duration(jitter*float64(pause/2)))
+	pause := min(breakFor<<min(b.times, 4), maxBreak)
+	b.times++
+	b.until = now.Add(pause/2 + time.Duration(jitter*float64(pause/2)))
 }
 
 // Succeeded counts an answer.
-func (c *Cut) Succeeded() {
-	c.rate -= c.rate * cutWeight
-	if c.rate < cutRate/2 {
-		c.times = 0
+func (b *Breaker) Succeeded() {
+	b.rate -= b.rate * breakWeight
+	if b.rate < breakRate/2 {
+		b.times = 0
 	}
 }
 
-// Active reports whether the agent gets nothing at now.
-func (c *Cut) Active(now time.Time) bool { return now.Before(c.until) }
+// Open reports whether the agent gets nothing at now.
+func (b *Breaker) Open(now time.Time) bool { return now.Before(b.until) }
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -48,31 +48,31 @@
 
 // Entry serves callers.
 type Entry struct {
-	cfg     Config
-	fleet   *fleet
-	book    *chooser.Book
-	limits  *limiter.Limiter
-	ring    *explainer.Ring
-	acks    *ackQueue
-	rater   *raterClient
-	tallies *tallyBoard
-	budget  *RetryBudget
-	pins    *pinCache
-	bodies  *semaphore.Weighted
-	leaving atomic.Bool
+	cfg       Config
+	fleet     *fleet
+	estimator *chooser.Estimator
+	limits    *limiter.Limiter
+	ring      *explainer.Ring
+	acks      *ackQueue
+	rater     *raterClient
+	tallies   *tallyBoard
+	budget    *RetryBudget
+	pins      *pinCache
+	bodies    *semaphore.Weighted
+	leaving   atomic.Bool
 }
 
 // New returns an entry that has not started.
 func New(cfg Config) *Entry {
 	e := &Entry{
-		cfg:     cfg,
-		book:    chooser.NewBook(),
-		limits:  limiter.New(),
-		ring:    explainer.NewRing(explained),
-		tallies: newTallyBoard(),
-		budget:  NewRetryBudget(),
-		pins:    newPinCache(),
-		bodies:  semaphore.NewWeighted(int64(cfg.Settings.Limits.Memory)),
+		cfg:       cfg,
+		estimator: chooser.NewEstimator(),
+		limits:    limiter.New(),
+		ring:      explainer.NewRing(explained),
+		tallies:   newTallyBoard(),
+		budget:    NewRetryBudget(),
+		pins:      newPinCache(),
+		bodies:    semaphore.NewWeighted(int64(cfg.Settings.Limits.Memory)),
 	}
 	e.fleet = newFleet(fleetConfig{Self: cfg.Self, Watcher: cfg.Watcher, Pool: cfg.Pool, Log: cfg.Log})
 	e.acks = newAckQueue(cfg.Work, cfg.Log)
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -46,7 +46,7 @@
 	open     int
 	sent     int
 	done     int
-	cut      Cut
+	breaker  Breaker
 	stop     context.CancelFunc
 }
 
@@ -168,10 +168,10 @@
 		p.sent, p.done = 0, 0
 	}
 	if failed {
-		p.cut.Failed(now, rand.Float64())
+		p.breaker.Failed(now, rand.Float64())
 		return
 	}
-	p.cut.Succeeded()
+	p.breaker.Succeeded()
 }
 
 // candidates returns the agents of a service as the picker reads them.
@@ -187,7 +187,7 @@
 				Instance: p.instance, Load: p.load, Known: p.known,
 				Open: p.open, Sent: p.sent, Done: p.done,
 			})
-			if p.cut.Active(now) && excluded[id] == "" {
+			if p.breaker.Open(now) && excluded[id] == "" {
 				cut = append(cut, id)
 			}
 		}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -131,7 +131,7 @@
 // decide draws the random numbers and asks the policy.
 func (e *Entry) decide(c *call, now time.Time) (chooser.Decision, model.Quality) {
 	key := chooser.Key{Service: c.service, Organisation: c.org().Organisation}
-	estimates, target := e.book.Estimates(key, c.doc(), c.org().Target, c.inputTokens())
+	estimates, target := e.estimator.Estimates(key, c.doc(), c.org().Target, c.inputTokens())
 	d := chooser.Cheapest{}.Decide(chooser.Input{
 		Document:     c.doc(),
 		Organisation: c.org(),
@@ -196,7 +196,7 @@
 		return refusal
 	}
 	key := chooser.Key{Service: c.service, Organisation: c.org().Organisation}
-	e.book.Begin(key, d, c.org().Target)
+	e.estimator.Begin(key, d, c.org().Target)
 	if c.key != "" {
 		return e.runClaimed(c, d, w)
 	}
@@ -283,12 +283,12 @@
 		c.note(explainer.Step{What: "cascade stops", Why: "the rating service does not answer"})
 		return nil, nil
 	}
-	e.book.Learn(key, d.Version, rating)
+	e.estimator.Learn(key, d.Version, rating)
 	e.tallies.rated(c.service, d.Version, rating)
 	e.rateAgain(c, key, d.Version, first.body.String(), rating)
 	if rating >= d.StepUnder {
 		c.note(explainer.Step{What: "cascade stops", Why: "the first answer rates " + strconv.FormatFloat(float64(rating), 'f', 2, 64)})
-		e.book.Settle(key, e.book.Trust(key, d.Version, rating), d.Expected)
+		e.estimator.Settle(key, e.estimator.Trust(key, d.Version, rating), d.Expected)
 		return nil, nil
 	}
 	c.note(explainer.Step{What: "cascade steps up to " + string(d.Second), Why: "the first answer rates " + strconv.FormatFloat(float64(rating), 'f', 2, 64)})
@@ -299,7 +299,7 @@
 	if refusal != nil {
 		return nil, nil
 	}
-	d.Expected = e.book.StepUp(key, d.Version, d.Second, rating, d.Expected, float64(d.Prior))
+	d.Expected = e.estimator.StepUp(key, d.Version, d.Second, rating, d.Expected, float64(d.Prior))
 	e.rateSecond(c, d, rating, out.body.String())
 	return out, res
 }
