Remember that a forgotten run was handed over

Change: a forgotten run leaves a mark for ten minutes, and a cancel of it answers 'unknown'; an entry takes a key over only from a claim younger than five minutes. Refused runs are forgotten after ten seconds, so that requests that were asked elsewhere do not fill an agent's memory.

Before: TestNotRunIsTrue failed.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -33,6 +33,7 @@
 	readers    int
 	lastGone   time.Time
 	ended      time.Time
+	handed     bool
 	acked      bool
 	billed     bool
 	queuedBill bool
@@ -59,7 +60,7 @@
 	if r.stage != stageQueued {
 		return false
 	}
-	r.stage = stageHanded
+	r.stage, r.handed = stageHanded, true
 	return true
 }
 
@@ -211,6 +212,9 @@
 	if r.stage != stageDone || r.readers > 0 || r.usage != nil && !r.acked && !r.billed {
 		return false
 	}
+	if r.frames[len(r.frames)-1].Refusal != nil {
+		return now.Sub(r.ended) > refusedFor
+	}
 	return r.acked || tight || now.Sub(r.ended) > keptFor
 }
 
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -14,8 +14,13 @@
 const (
 	// keptFor is how long an answer waits for its acknowledgement.
 	keptFor = 2 * time.Minute
+	// ranFor is how long the agent remembers that a forgotten run had been handed over. An
+	// entry trusts a "no" only for claims that are younger.
+	ranFor = messenger.ClaimMemory
+	// refusedFor is how long a refused run is kept; its id stays refused for longer.
+	refusedFor = 10 * time.Second
 	// tombstoneFor is how long a cancelled id stays refused; work cannot be late by more.
-	tombstoneFor = 10 * time.Minute
+	tombstoneFor = 2 * time.Minute
 	// orphanAfter is how long an idempotent run goes on without a reader.
 	orphanAfter = 10 * time.Second
 	// maxRunBytes bounds the unread part of one answer; a full run waits for its reader.
@@ -39,14 +44,27 @@
 type runShard struct {
 	mu         sync.Mutex
 	runs       map[model.RequestID]*run
-	tombstones map[model.RequestID]time.Time
+	tombstones map[model.RequestID]tombstone
+}
+
+// tombstone keeps an id from starting. Ran tells that a forgotten run of it was handed over.
+type tombstone struct {
+	at  time.Time
+	ran bool
+}
+
+func (t tombstone) expired(now time.Time) bool {
+	if t.ran {
+		return now.Sub(t.at) > ranFor
+	}
+	return now.Sub(t.at) > tombstoneFor
 }
 
 func newRunTable(cfg runTableConfig) *runTable {
 	t := &runTable{cfg: cfg}
 	for i := range t.shards {
 		t.shards[i].runs = map[model.RequestID]*run{}
-		t.shards[i].tombstones = map[model.RequestID]time.Time{}
+		t.shards[i].tombstones = map[model.RequestID]tombstone{}
 	}
 	return t
 }
@@ -84,8 +102,12 @@
 func (t *runTable) cancel(id model.RequestID, now time.Time) model.Run {
 	s := t.shard(id)
 	s.mu.Lock()
-	s.tombstones[id] = now
 	r, ok := s.runs[id]
+	if !ok && s.tombstones[id].ran {
+		s.mu.Unlock()
+		return model.RunUnknown
+	}
+	s.tombstones[id] = tombstone{at: now}
 	s.mu.Unlock()
 	if !ok {
 		return model.RunNo
@@ -130,15 +152,15 @@
 	return idle
 }
 
-// sweep forgets acknowledged and old runs and old tombstones, and ends idempotent runs
+// sweep forgets refused, acknowledged and old runs and old tombstones, and ends idempotent runs
 // that nobody reads. Finished answers over the byte bound go, the oldest first.
 func (t *runTable) sweep(now time.Time) {
 	kept := 0
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
-		for id, at := range s.tombstones {
-			if now.Sub(at) > tombstoneFor {
+		for id, stone := range s.tombstones {
+			if stone.expired(now) {
 				delete(s.tombstones, id)
 			}
 		}
@@ -146,6 +168,7 @@
 			r.mu.Lock()
 			if r.forgettable(now, kept > t.cfg.Keep) {
 				delete(s.runs, id)
+				s.tombstones[id] = tombstone{at: now, ran: r.handed}
 			} else {
 				kept += r.size()
 			}
--- a/internal/agent/runs_test.go
+++ b/internal/agent/runs_test.go
@@ -24,7 +24,7 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			id := rapid.SampledFrom(ids).Draw(t, "id")
 			now = now.Add(time.Second)
-			switch rapid.SampledFrom([]string{"arrive", "cancel", "hand", "finish", "refuse", "sweep"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"arrive", "cancel", "hand", "finish", "refuse", "acknowledge", "sweep"}).Draw(t, "step") {
 			case "arrive":
 				w := messenger.Work{Request: id, Budget: time.Hour, Idempotent: rapid.Bool().Draw(t, "idempotent")}
 				if r, fresh := table.begin(context.Background(), w, now); fresh {
@@ -51,6 +51,8 @@
 				if r := runs[id]; r != nil && r.stage == stageQueued {
 					r.finish(refusalFrame(model.Refuse(model.KindOverload, "busy")), now)
 				}
+			case "acknowledge":
+				table.acknowledge(id)
 			case "sweep":
 				table.sweep(now)
 			}
--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -138,6 +139,8 @@
 		if opts["fencing"] == "true" {
 			p.args = append(p.args, "--fencing")
 		}
+	case "local":
+		p.args = []string{"bramleyhinge", "local"}
 	case "forward":
 		f.forwards[name] = newForwarder(ts, p.addr)
 		delete(f.procs, name)
@@ -249,10 +252,20 @@
 	return err == nil && !info.IsDir()
 }
 
+var readyLine = regexp.MustCompile(`(?m)^ready http://(.+)$`)
+
 // ready waits until a process takes connections, and an entry until it says so.
 func (f *testFleet) ready(ts *testscript.TestScript, name string) {
 	p := f.procs[name]
 	f.until(ts, "ready "+name, func() bool {
+		if p.kind == "local" {
+			log, err := os.ReadFile(filepath.Join(ts.Getenv("WORK"), name+".log"))
+			m := readyLine.FindSubmatch(log)
+			if err == nil && m != nil {
+				p.addr = string(m[1])
+			}
+			return m != nil
+		}
 		if p.kind == "entry" {
 			resp, err := http.Get("http://" + p.addr + "/readyz")
 			if err != nil {
@@ -307,7 +320,7 @@
 		f.dumpLogs(ts)
 		ts.Fatalf("%s did not stop", name)
 	}
-	if !p.cmd.ProcessState.Success() && p.row.Instance != "" {
+	if !p.cmd.ProcessState.Success() && (p.row.Instance != "" || p.kind == "local") {
 		f.dumpLogs(ts)
 		ts.Fatalf("%s ended with %v", name, p.cmd.ProcessState)
 	}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -182,7 +182,8 @@
 // forbid sets a tombstone for a claimed request that its agent has not seen. A first
 // request still on its way is refused there, so the key can be taken over safely.
 func (e *Entry) forbid(c *call, r model.Record, id model.RequestID) model.Run {
-	if time.Since(r.Time) < claimGrace {
+	age := time.Since(r.Time)
+	if age < claimGrace || age > messenger.ClaimMemory/2 {
 		return model.RunUnknown
 	}
 	run, err := e.cfg.Work.Cancel(c.ctx, r.Claim.Work, messenger.CancelRequest{Request: id, Boot: r.Claim.Boot})
