--- a/internal/measurer/retries.go
+++ b/internal/measurer/retries.go
@@ -108,7 +108,7 @@
 func Retries(Scale) Section {
 	s := Section{
 		Title: "Retries and cut-out",
-		How: fmt.Sprintf("%d servers at %.0f%% load; from %.0f s to %.0f s a failure domain of a quarter of them fails, or one server fails half of its requests.",
+		How: fmt.Sprintf("%d servers at %.0f%% load; from %.0f s to %.0f s a failure domain of a quarter of them fails, or one server fails half of its requests. Hedged requests are not built.",
 			retryServers, 100*retryLoad, retryFrom, retryTo),
 	}
 	for _, c := range []struct {
--- a/pkg/model/refusal.go
+++ b/pkg/model/refusal.go
@@ -21,6 +21,7 @@
 // Kinds of refusal; docs/operators.md lists each with its remedy.
 const (
 	KindBadRequest    RefusalKind = "bad_request"
+	KindIncomplete    RefusalKind = "incomplete_body"
 	KindUnauthorized  RefusalKind = "unauthorized"
 	KindUnknownModel  RefusalKind = "unknown_model"
 	KindUnknownRoute  RefusalKind = "unknown_service"
@@ -78,7 +79,7 @@
 // Status returns the HTTP status code of the refusal.
 func (r *Refusal) Status() int {
 	switch r.Kind {
-	case KindBadRequest, KindBadSession:
+	case KindBadRequest, KindBadSession, KindIncomplete:
 		return 400
 	case KindUnauthorized:
 		return 401
