Let listeners go on from a relay's order of learning, not from a revision

Cause: reading the relay as a newcomer: a change that a relay's watch skipped and its list found later has a lower revision than the place from which listeners go on, so a process that is no relay, such as an agent, never got it until it lost its relays.

Ruled out: raising the place only by lists, since a watch then repeats all changes after each start.

Change: each feed numbers what it learns; a poll names feed and number, and a relay with another feed answers with everything. A relay confirms only if it knows everything that the listener knows.

--- a/internal/measurer/slopes.go
+++ b/internal/measurer/slopes.go
@@ -102,7 +102,7 @@
 			rev := model.Revision(i + 1)
 			w.Feed().Apply([]storer.Object{{Key: watcher.DocumentKey("drafting-models"), Revision: rev, Value: value}}, rev, epoch)
 			b.each(func(p *messenger.Pool) {
-				in := messenger.PollRequest{From: rev - 1, Service: "drafting-models"}
+				in := messenger.PollRequest{Feed: w.Feed().ID(), Seq: uint64(i), Service: "drafting-models"}
 				if _, err := messenger.Call[messenger.PollReply](context.Background(), p, b.addr, messenger.MethodPoll, in); err != nil {
 					panic(err)
 				}
@@ -129,7 +129,7 @@
 		return err
 	}
 	return calls(s, b, "beat", func(p *messenger.Pool) error {
-		_, err := messenger.Call[messenger.PollReply](context.Background(), p, b.addr, messenger.MethodPoll, messenger.PollRequest{From: 123456, Digest: 1 << 60, Listed: epoch})
+		_, err := messenger.Call[messenger.PollReply](context.Background(), p, b.addr, messenger.MethodPoll, messenger.PollRequest{Feed: w.Feed().ID(), Seq: 123456, Digest: 1 << 60, Listed: epoch})
 		return err
 	})
 }
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -45,22 +45,26 @@
 	MAC      []byte           `json:"mac"`
 }
 
-// PollRequest asks a relay for configuration newer than From; Service limits the
-// answer to one service's objects. Digest names the instance list already known, which
+// PollRequest asks a relay for what it has learnt after Seq of its own feed; a relay with
+// another feed answers with everything. Service limits the answer to one service's objects. Digest names the instance list already known, which
 // was read at Listed.
 type PollRequest struct {
-	From    model.Revision  `json:"from"`
+	Feed    string          `json:"feed,omitempty"`
+	Seq     uint64          `json:"seq"`
 	Service model.ServiceID `json:"service,omitempty"`
 	Digest  uint64          `json:"digest"`
 	Listed  time.Time       `json:"listed"`
 	Wait    time.Duration   `json:"wait"`
 }
 
-// PollReply carries changed objects. Age is how long before the answer the relay last
+// PollReply carries changed objects, the place to go on from, and the newest revision among
+// all objects that concern the service. Age is how long before the answer the relay last
 // knew that it was current; Held is how long the relay kept the request.
 type PollReply struct {
 	Objects   []storer.Object `json:"objects,omitempty"`
-	Revision  model.Revision  `json:"revision"`
+	Feed      string          `json:"feed"`
+	Seq       uint64          `json:"seq"`
+	Newest    model.Revision  `json:"newest"`
 	Age       time.Duration   `json:"age"`
 	Held      time.Duration   `json:"held"`
 	Instances *InstanceDelta  `json:"instances,omitempty"`
--- a/internal/watcher/feed.go
+++ b/internal/watcher/feed.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oklog/ulid/v2"
+
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -12,6 +14,9 @@
 // Feed holds the newest known object of every key; revisions only rise.
 type Feed struct {
 	mu        sync.Mutex
+	id        string
+	seq       uint64
+	learnt    map[string]uint64
 	objects   map[string]storer.Object
 	revision  model.Revision
 	confirmed time.Time
@@ -21,7 +26,10 @@
 
 // NewFeed returns an empty feed.
 func NewFeed() *Feed {
-	f := &Feed{objects: map[string]storer.Object{}, changed: make(chan struct{})}
+	f := &Feed{
+		id: ulid.Make().String(), learnt: map[string]uint64{},
+		objects: map[string]storer.Object{}, changed: make(chan struct{}),
+	}
 	f.catalogue.Store(newCatalogue())
 	return f
 }
@@ -29,6 +37,9 @@
 // Catalogue returns what is in force.
 func (f *Feed) Catalogue() *Catalogue { return f.catalogue.Load() }
 
+// ID names the feed; places in it mean nothing to another one.
+func (f *Feed) ID() string { return f.id }
+
 // Confirmed returns when the feed was last known to be current.
 func (f *Feed) Confirmed() time.Time {
 	f.mu.Lock()
@@ -103,6 +114,8 @@
 	var fresh []storer.Object
 	for _, o := range objects {
 		if o.Revision > f.objects[o.Key].Revision {
+			f.seq++
+			f.learnt[o.Key] = f.seq
 			f.objects[o.Key] = o
 			fresh = append(fresh, o)
 		}
@@ -125,24 +138,57 @@
 	f.changed = make(chan struct{})
 }
 
-// Batch is a consistent answer to a poll: every object up to Revision that the poller lacks.
+// cursor is a place in a feed's own order of learning. Revisions are no such place: a change
+// that a watch skipped is learnt later than newer ones.
+type cursor struct {
+	feed string
+	seq  uint64
+}
+
+// Batch is a consistent answer to a poll: every object that the poller lacks, the place to go
+// on from, and the newest revision of all that concerns it.
 type Batch struct {
 	Objects   []storer.Object
-	Revision  model.Revision
+	Newest    model.Revision
 	Confirmed time.Time
 	Changed   <-chan struct{}
+	cursor    cursor
 }
 
-// Since returns the objects newer than from that concern the service; Changed closes on
-// the next change.
-func (f *Feed) Since(from model.Revision, service model.ServiceID) Batch {
+// Since returns the objects learnt after a place that concern the service; Changed closes on
+// the next change. A place in another feed says nothing here, so all objects are returned.
+func (f *Feed) Since(from cursor, service model.ServiceID) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := Batch{Revision: f.revision, Confirmed: f.confirmed, Changed: f.changed}
-	for _, o := range f.objects {
-		if o.Revision > from && concerns(o.Key, service) {
+	if from.feed != f.id {
+		from.seq = 0
+	}
+	b := Batch{Confirmed: f.confirmed, Changed: f.changed, cursor: cursor{f.id, f.seq}}
+	for key, o := range f.objects {
+		if !concerns(key, service) {
+			continue
+		}
+		b.Newest = max(b.Newest, o.Revision)
+		if f.learnt[key] > from.seq {
 			b.Objects = append(b.Objects, o)
 		}
 	}
 	return b
 }
+
+// ApplyPoll takes a relay's batch, which was current at confirmed. A relay that lacks what is
+// known here, such as one that started on a stale read, confirms nothing.
+func (f *Feed) ApplyPoll(b Batch, service model.ServiceID, confirmed time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(b.Objects)
+	newest := model.Revision(0)
+	for key, o := range f.objects {
+		if concerns(key, service) {
+			newest = max(newest, o.Revision)
+		}
+	}
+	if b.Newest >= newest {
+		f.confirm(confirmed)
+	}
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -52,6 +52,7 @@
 	budget  *rate.Limiter
 	mu      sync.Mutex
 	heard   map[model.RegionID]time.Time
+	places  map[string]cursor
 	sources map[string]context.CancelFunc
 	refresh chan struct{}
 	started atomic.Bool
@@ -72,6 +73,7 @@
 		views:   registrar.NewHistory(),
 		budget:  rate.NewLimiter(readsPerSec, readBurst),
 		heard:   map[model.RegionID]time.Time{},
+		places:  map[string]cursor{},
 		sources: map[string]context.CancelFunc{},
 		refresh: make(chan struct{}, 1),
 	}
@@ -194,7 +196,10 @@
 	defer cancel()
 	start := time.Now()
 	view := w.View()
-	in := messenger.PollRequest{From: w.feed.Revision(), Service: w.cfg.Scope, Digest: view.Digest(), Listed: view.At(), Wait: wait}
+	w.mu.Lock()
+	at := w.places[addr]
+	w.mu.Unlock()
+	in := messenger.PollRequest{Feed: at.feed, Seq: at.seq, Service: w.cfg.Scope, Digest: view.Digest(), Listed: view.At(), Wait: wait}
 	reply, err := messenger.Call[messenger.PollReply](ctx, w.cfg.Pool, addr, messenger.MethodPoll, in)
 	if err != nil {
 		return err
@@ -206,9 +211,13 @@
 	}
 	w.mu.Unlock()
 	w.takeInstances(reply.Instances)
-	if reply.Age >= 0 {
-		w.feed.Apply(reply.Objects, reply.Revision, heard.Add(-reply.Age))
+	if reply.Age < 0 {
+		return nil
 	}
+	w.feed.ApplyPoll(Batch{Objects: reply.Objects, Newest: reply.Newest}, w.cfg.Scope, heard.Add(-reply.Age))
+	w.mu.Lock()
+	w.places[addr] = cursor{reply.Feed, reply.Seq}
+	w.mu.Unlock()
 	return nil
 }
 
@@ -324,7 +333,8 @@
 	timer := time.NewTimer(min(in.Wait, pollWait))
 	defer timer.Stop()
 	for {
-		batch := w.feed.Since(in.From, in.Service)
+		from := cursor{in.Feed, in.Seq}
+		batch := w.feed.Since(from, in.Service)
 		delta := w.views.Since(in.Digest, in.Listed)
 		if len(batch.Objects) == 0 && delta == nil {
 			select {
@@ -333,7 +343,7 @@
 			case <-batch.Changed:
 				continue
 			case <-timer.C:
-				batch = w.feed.Since(in.From, in.Service)
+				batch = w.feed.Since(from, in.Service)
 			}
 		}
 		return pollReply(batch, delta, start, time.Now()), nil
@@ -345,7 +355,7 @@
 	if !b.Confirmed.IsZero() {
 		age = now.Sub(b.Confirmed)
 	}
-	return messenger.PollReply{Objects: b.Objects, Revision: b.Revision, Age: age, Held: now.Sub(start), Instances: delta}
+	return messenger.PollReply{Objects: b.Objects, Feed: b.cursor.feed, Seq: b.cursor.seq, Newest: b.Newest, Age: age, Held: now.Sub(start), Instances: delta}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -65,7 +65,7 @@
 			}
 		}
 		got := map[string]model.Revision{}
-		for _, o := range f.Since(0, "").Objects {
+		for _, o := range f.Since(cursor{}, "").Objects {
 			got[o.Key] = o.Revision
 		}
 		if diff := cmp.Diff(highest, got); diff != "" {
@@ -73,3 +73,54 @@
 		}
 	})
 }
+
+// TestListenersMissNothing lets a relay miss changes in its watch and find them later in a
+// list: a listener that polled in between still gets them.
+func TestListenersMissNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		relay, listener := NewFeed(), NewFeed()
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		stored := map[string]storer.Object{}
+		at := cursor{}
+		poll := func() {
+			b := relay.Since(at, "")
+			listener.ApplyPoll(b, "", now)
+			at = b.cursor
+		}
+		revision := model.Revision(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			switch rapid.SampledFrom([]string{"seen", "missed", "list", "poll"}).Draw(t, "step") {
+			case "seen", "missed":
+				revision++
+				key := DocumentKey(model.ServiceID(fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service"))))
+				o := storer.Object{Key: key, Revision: revision, Value: []byte("{}")}
+				stored[key] = o
+				if rapid.Bool().Draw(t, "skipped") {
+					relay.Apply(nil, revision, now)
+				} else {
+					relay.Apply([]storer.Object{o}, revision, now)
+				}
+			case "list":
+				var all []storer.Object
+				for _, o := range stored {
+					all = append(all, o)
+				}
+				relay.ApplyList(all, "", now)
+			case "poll":
+				poll()
+			}
+		}
+		poll()
+		have := func(f *Feed) map[string]model.Revision {
+			out := map[string]model.Revision{}
+			for _, o := range f.Since(cursor{}, "").Objects {
+				out[o.Key] = o.Revision
+			}
+			return out
+		}
+		if diff := cmp.Diff(have(relay), have(listener)); diff != "" {
+			t.Fatalf("listener differs (-relay +listener):\n%s", diff)
+		}
+	})
+}
