Look for a dead backend server for half a second

Ruled out: a lost crash report (both later reports were stored), and a ban that did not travel (all resends were refused).

Change: after a broken call the agent dials for half a second before it takes the server for alive; requests that fail together share one inspection. A feed's name is shorter, since it travels with each poll.

--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -18,6 +18,9 @@
 const (
 	probeEvery   = 250 * time.Millisecond
 	probeTimeout = time.Second
+	// deathProbes and deathPause spread the look for a dead backend server over half a second.
+	deathProbes = 20
+	deathPause  = 25 * time.Millisecond
 	// crashPause lets a quarantine reach every instance before the caller can send again.
 	crashPause = time.Second
 	// entriesTried bounds how many entries are asked to record a crash.
@@ -92,30 +95,47 @@
 type crashes struct {
 	mu      sync.Mutex
 	current *crash
-	number  uint64
 }
 
-// inspect reports a crash if the backend server is gone after the request failed.
+// inspect waits until it is known whether a failed request took the backend server with it,
+// and if so until the crash is reported. Requests that fail together share one inspection.
 func (a *Agent) inspect(w messenger.Work) {
 	a.crashes.mu.Lock()
 	c := a.crashes.current
 	if c == nil {
-		ctx, cancel := context.WithTimeout(a.stop, probeTimeout)
-		err := a.backend.dial(ctx)
-		cancel()
-		if err == nil {
-			a.crashes.mu.Unlock()
-			return
-		}
 		c = &crash{reported: make(chan struct{})}
 		a.crashes.current = c
-		a.crashes.number++
+		go a.investigate(c, a.suspects(w))
+	}
+	a.crashes.mu.Unlock()
+	<-c.reported
+}
+
+func (a *Agent) investigate(c *crash, suspects []model.Fingerprint) {
+	if a.died() {
 		a.backend.healthy.Store(false)
 		a.publishLoad()
-		go a.reportCrash(c, a.suspects(w), a.crashes.number)
+		a.reportCrash(suspects)
 	}
+	a.crashes.mu.Lock()
+	a.crashes.current = nil
 	a.crashes.mu.Unlock()
-	<-c.reported
+	close(c.reported)
+}
+
+// died reports whether the backend server takes no connections. A process that ends closes
+// its connections and its listener one after the other, so one successful dial says nothing.
+func (a *Agent) died() bool {
+	for range deathProbes {
+		ctx, cancel := context.WithTimeout(a.stop, probeTimeout)
+		err := a.backend.dial(ctx)
+		cancel()
+		if err != nil {
+			return true
+		}
+		sleep(a.stop, deathPause)
+	}
+	return false
 }
 
 // suspects lists the fingerprints of everything that was running.
@@ -131,13 +151,13 @@
 	return out
 }
 
-func (a *Agent) reportCrash(c *crash, suspects []model.Fingerprint, number uint64) {
+func (a *Agent) reportCrash(suspects []model.Fingerprint) {
 	a.cfg.Log.Warn().Int("suspects", len(suspects)).Msg("agent: backend server died")
 	in := messenger.SuspectRequest{
 		Instance:     a.cfg.Settings.Instance,
 		Service:      a.cfg.Settings.Service,
 		Fingerprints: suspects,
-		Crash:        uint64(time.Now().UnixNano()) + number,
+		Crash:        uint64(time.Now().UnixNano()),
 	}
 	entries := registrar.Rank("suspect/"+string(in.Instance), a.cfg.Watcher.View().Entries())
 	for _, e := range entries[:min(entriesTried, len(entries))] {
@@ -150,10 +170,6 @@
 		a.cfg.Log.Warn().Err(err).Msg("agent: crash report failed")
 	}
 	sleep(a.stop, crashPause)
-	a.crashes.mu.Lock()
-	a.crashes.current = nil
-	a.crashes.mu.Unlock()
-	close(c.reported)
 }
 
 // suspected reports whether the request was running at a crash and must run alone.
--- a/internal/cli/load_test.go
+++ b/internal/cli/load_test.go
@@ -100,6 +100,7 @@
 			n++
 		}
 	}
+	f.dumpLogs(ts)
 	fmt.Fprintf(ts.Stdout(), "%d of %d\n", n, len(names))
 }
 
--- a/internal/watcher/feed.go
+++ b/internal/watcher/feed.go
@@ -1,12 +1,12 @@
 package watcher
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -27,7 +27,7 @@
 // NewFeed returns an empty feed.
 func NewFeed() *Feed {
 	f := &Feed{
-		id: ulid.Make().String(), learnt: map[string]uint64{},
+		id: strconv.FormatUint(rand.Uint64(), 36), learnt: map[string]uint64{},
 		objects: map[string]storer.Object{}, changed: make(chan struct{}),
 	}
 	f.catalogue.Store(newCatalogue())
