Ask eight agents a second at most for their loads

Cause: polls carry a feed's name since the last change, which took the owner to 26.1 KB/s on the capacity page, over its 26.

--- a/internal/measurer/capacity.go
+++ b/internal/measurer/capacity.go
@@ -41,7 +41,7 @@
 	agentReports   = 10.0
 	loadHold       = 5.0
 	reportsToOwner = 8.0
-	agentAsks      = 10.0
+	agentAsks      = 8.0
 	flushPerSecond = 3.125
 	claimShards    = 10.0
 	answerBytes    = 600.0
@@ -177,7 +177,7 @@
 	asks := math.Min(agents/2, agentAsks)
 	return c.entry().add("service owner (an entry)", role{
 		state: fmt.Sprintf("reports of %.0f entries, loads of %.0f agents, one roll-out, one order sheet", sizeEntries, agents),
-		mech:  "a lease by conditional update; the interval of reports grows with the entries so that 8/s arrive; at most 10 agents asked a second",
+		mech:  "a lease by conditional update; the interval of reports grows with the entries so that 8/s arrive; at most 8 agents asked a second",
 		msgs:  reportsToOwner + asks + 0.5,
 		bytes: reportsToOwner*c.reportBytes() + asks*c.s.Get("load report bytes"),
 		cpu:   reportsToOwner*c.reportTime() + asks*half*c.s.Get("load report time"),
--- a/internal/owner/repair.go
+++ b/internal/owner/repair.go
@@ -18,7 +18,7 @@
 	// loadsAtOnce bounds the versions that are being loaded, for the weight store's rate.
 	loadsAtOnce = 2
 	// agentsPerSecond bounds how many agents an owner asks for their loads.
-	agentsPerSecond = 10
+	agentsPerSecond = 8
 	// minAsk is the shortest time between two rounds of asking.
 	minAsk = 2 * time.Second
 )
