Keep an agent that answers although the instance list lacks it

Ruled out: the drain itself; no stream was cut.

Change: an agent that still answers and does not say that it leaves is kept for ten seconds without a row, since the list lags. The gauge of agents no longer counts one whose row says that it is leaving.

--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -18,6 +18,8 @@
 	fleetEvery = 200 * time.Millisecond
 	loadWait   = 5 * time.Second
 	loadSlack  = time.Second
+	// missingGrace is how long an agent that answers is kept without a row in the list.
+	missingGrace = 10 * time.Second
 )
 
 // fleetConfig configures a fleet.
@@ -43,6 +45,7 @@
 	load     model.Load
 	known    bool
 	tried    bool
+	missing  time.Time
 	open     int
 	sent     int
 	done     int
@@ -57,12 +60,12 @@
 // run follows the instance list and keeps one load report per agent of the subset waiting.
 func (f *fleet) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.update(ctx)
+		f.update(ctx, time.Now())
 		pause(ctx, fleetEvery)
 	}
 }
 
-func (f *fleet) update(ctx context.Context) {
+func (f *fleet) update(ctx context.Context, now time.Time) {
 	if !f.cfg.Watcher.Ready() {
 		return
 	}
@@ -78,13 +81,16 @@
 	f.begun = true
 	for id, p := range f.peers {
 		row, ok := wanted[id]
+		if !ok && p.outlasts(now) {
+			continue
+		}
 		if !ok || row.Control != p.instance.Control || row.Work != p.instance.Work {
 			p.stop()
 			delete(f.peers, id)
 			continue
 		}
 		p.mu.Lock()
-		p.instance = row
+		p.instance, p.missing = row, time.Time{}
 		p.mu.Unlock()
 	}
 	for id, row := range wanted {
@@ -120,6 +126,17 @@
 	}
 }
 
+// outlasts reports whether an agent that the list lacks is kept: the list lags, and an
+// agent that still answers says itself when it leaves.
+func (p *peer) outlasts(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.missing.IsZero() {
+		p.missing = now
+	}
+	return p.known && !p.load.Leaving && now.Sub(p.missing) < missingGrace
+}
+
 // settled reports whether every agent of the subset has been asked for its load once.
 func (f *fleet) settled() bool {
 	f.mu.RLock()
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -151,7 +151,7 @@
 	n := 0
 	for _, p := range f.peers {
 		p.mu.Lock()
-		if p.known && p.load.Limit > 0 && !p.load.Leaving {
+		if p.known && p.load.Limit > 0 && !p.load.Leaving && !p.instance.Leaving {
 			n++
 		}
 		p.mu.Unlock()
