Decide a cancel and end the run under one lock

Cause: reading the whole change once more: a cancel read the run's stage, gave up the lock and then ended the run. A hand-over in between made its 'not run' false. The random histories are in sequence and could not meet it. TestCancelRacesWithHandOver failed at once.

Change: the stage is judged and the run ended under one lock; the state that the old form derived twice is gone.

Before: the new test failed.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -96,6 +96,10 @@
 func (r *run) finish(f messenger.Frame, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.end(f, now)
+}
+
+func (r *run) end(f messenger.Frame, now time.Time) {
 	if r.stage == stageDone {
 		return
 	}
@@ -109,40 +113,28 @@
 	r.cancel()
 }
 
-// cancelled ends the run on an entry's word and tells whether it had been handed over.
+// cancelled ends the run on an entry's word and tells whether it had been handed over. It
+// decides and ends under one lock, so that no hand-over comes between.
 func (r *run) cancelled(now time.Time) model.Run {
 	r.mu.Lock()
-	handed := r.stage == stageHanded
-	done := r.stage == stageDone
-	idempotent := r.work.Idempotent
-	ranAtAll := handed || done && r.usage != nil
-	r.mu.Unlock()
-	switch {
-	case handed && idempotent:
-		r.cancel()
-		return model.RunUnknown
-	case handed:
+	defer r.mu.Unlock()
+	switch r.stage {
+	case stageHanded:
 		// A call that must not be repeated is not torn off in the middle either.
+		if r.work.Idempotent {
+			r.cancel()
+		}
 		return model.RunUnknown
-	case done && ranAtAll:
+	case stageDone:
+		if last := r.frames[len(r.frames)-1]; last.Refusal != nil {
+			return last.Refusal.Run
+		}
 		return model.RunYes
-	case done:
-		return r.refusedRun()
 	}
-	r.finish(refusalFrame(model.Refuse(model.KindCancelled, "the request was cancelled before it ran: send it again if it is still wanted")), now)
+	r.end(refusalFrame(model.Refuse(model.KindCancelled, "the request was cancelled before it ran: send it again if it is still wanted")), now)
 	return model.RunNo
 }
 
-// refusedRun is the run state of the refusal that ended the run.
-func (r *run) refusedRun() model.Run {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if last := r.frames[len(r.frames)-1]; last.Refusal != nil {
-		return last.Refusal.Run
-	}
-	return model.RunYes
-}
-
 func refusalFrame(refusal *model.Refusal) messenger.Frame {
 	return messenger.Frame{Kind: messenger.FrameRefuse, Refusal: refusal}
 }
--- a/internal/agent/runs_test.go
+++ b/internal/agent/runs_test.go
@@ -65,3 +65,18 @@
 		}
 	})
 }
+
+// TestCancelRacesWithHandOver lets a cancel and a hand-over meet: one of them wins.
+func TestCancelRacesWithHandOver(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for range 20_000 {
+		r := newRun(t.Context(), messenger.Work{Request: "a", Budget: time.Hour}, now)
+		handed := make(chan bool)
+		go func() { handed <- r.hand() }()
+		said := r.cancelled(now)
+		if ran := <-handed; ran && said == model.RunNo {
+			t.Fatal("the request was said not to run and was handed over")
+		}
+		r.cancel()
+	}
+}
