Keep a roll-out's share steady in its first half; wait longer for engines

(3) After an outage the plan was confirmed only by a whole watch.

Change: 2% until the half, then 15%, 50%, all; three targets of patience for an engine's first token; the store is asked for what it has at once when it is regained, the plan at closer pauses.

Tests replay choices, deeds, verdicts and the exposure.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -24,10 +24,13 @@
 	serversWait = 2 * time.Second
 	// otherWait is for kinds whose changes nobody waits for within seconds.
 	otherWait = 3 * time.Second
-	// firstPause and maxPause space the calls to a store that fails; the second keeps keys
-	// fresh soon after its return.
-	firstPause = 100 * time.Millisecond
-	maxPause   = 800 * time.Millisecond
+	// firstPause and maxPause space the calls to a store that fails. The plan's are closer, since
+	// requests with keys are refused until it answers again.
+	firstPause   = 100 * time.Millisecond
+	maxPause     = 800 * time.Millisecond
+	maxPlanPause = 250 * time.Millisecond
+	// noWait asks for what a watch has at once, after the store was away.
+	noWait = time.Millisecond
 )
 
 // Kinds names the store's kinds of object.
@@ -87,10 +90,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, k := range []stream{
-		{kind: f.cfg.Kinds.Plan, wait: planWait, apply: f.applyPlan, confirm: f.confirm},
-		{kind: f.cfg.Kinds.Servers, wait: serversWait, apply: f.applyServers},
-		{kind: f.cfg.Kinds.Orders, wait: otherWait, apply: f.applyOrders},
-		{kind: f.cfg.Kinds.Marks, wait: otherWait, apply: f.applyMarks},
+		{kind: f.cfg.Kinds.Plan, wait: planWait, pause: maxPlanPause, apply: f.applyPlan, confirm: f.confirm},
+		{kind: f.cfg.Kinds.Servers, wait: serversWait, pause: maxPause, apply: f.applyServers},
+		{kind: f.cfg.Kinds.Orders, wait: otherWait, pause: maxPause, apply: f.applyOrders},
+		{kind: f.cfg.Kinds.Marks, wait: otherWait, pause: maxPause, apply: f.applyMarks},
 	} {
 		wg.Go(func() { f.follow(ctx, k) })
 	}
@@ -109,6 +112,7 @@
 type stream struct {
 	kind    string
 	wait    time.Duration
+	pause   time.Duration
 	apply   func(b batch, now time.Time)
 	confirm func(sent time.Duration)
 }
@@ -123,7 +127,7 @@
 	full, pause := true, firstPause
 	for ctx.Err() == nil {
 		sent := f.cfg.Clock()
-		listing, err := f.read(ctx, s, from, full)
+		listing, err := f.read(ctx, s, from, full, !lostAt.IsZero())
 		now := time.Now()
 		switch {
 		case err == nil && listing.Revision < from:
@@ -146,7 +150,7 @@
 				f.cfg.Log.Warn().Err(err).Str("kind", s.kind).Int64("from", int64(from)).Msg("follower: store lost")
 			}
 			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, maxPause)
+			pause = min(2*pause, s.pause)
 			continue
 		}
 		f.count(s, "answered")
@@ -166,9 +170,12 @@
 	}
 }
 
-func (f *Follower) read(ctx context.Context, s stream, from model.Revision, full bool) (storer.Listing, error) {
-	if full {
+func (f *Follower) read(ctx context.Context, s stream, from model.Revision, full, lost bool) (storer.Listing, error) {
+	switch {
+	case full:
 		return f.cfg.Store.List(ctx, s.kind)
+	case lost:
+		return f.cfg.Store.Watch(ctx, s.kind, from, noWait)
 	}
 	return f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -19,6 +19,10 @@
 	// leastPatience is the shortest wait for the head of an answer before another backend
 	// server is asked: the longest answers of an unloaded plain service take a third of it.
 	leastPatience = time.Second
+	// enginePatience is the wait for an engine's first token in targets. An engine that is slow
+	// under load is not helped by reading the prompt elsewhere; one that is dark is found by
+	// its connection.
+	enginePatience = 3
 	// repeatReserve is the part of the ratio of repeats that steps to a larger model leave to
 	// retries after failures.
 	repeatReserve = 0.15
@@ -61,7 +65,7 @@
 		p.begin(front, now)
 		c.began = now
 		f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
-			Str("model", string(c.model)).Str("why", choice.Why).Float64("load", choice.Load).Int("open", choice.Open).Int("sent", c.sent).
+			Str("model", string(c.model)).Str("session", c.session).Str("why", choice.Why).Float64("load", choice.Load).Int("open", choice.Open).Int("sent", c.sent).
 			Msg("forwarder: placed")
 		rep, fail := f.exchange(ctx, c, p, f.patience(c))
 		p.started(front)
@@ -213,6 +217,9 @@
 	if !repeatable(c) || c.sent+1 >= c.route.Attempts {
 		return time.Until(c.deadline)
 	}
+	if c.service.Engine != nil {
+		return enginePatience * c.route.Target
+	}
 	return max(c.route.Target, leastPatience)
 }
 
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -15,18 +15,20 @@
 	share float64
 }
 
-// stages keep the new version under 9% of the order's requests until it takes all, so that one
-// that fails only under full load is found within the usual bound of 12% to 15%. It takes all
-// early enough for the old version's streams to end before the order's time is over.
+// stages keep the new version under 8% of the order's requests until it takes all, so that one
+// that fails only under full load is found within the usual bound of 12% to 15%. In the first
+// half its share is small and steady: a session whose requests come through several entries may
+// move to the new version when the share rises, which is wanted only later. It takes all early
+// enough for the old version's streams to end before the order's time is over.
 var stages = []stage{
-	{at: 0, share: 0.05},
-	{at: 0.3, share: 0.15},
-	{at: 0.5, share: 0.4},
-	{at: 0.6, share: 1},
+	{at: 0, share: 0.02},
+	{at: 0.5, share: 0.15},
+	{at: 0.58, share: 0.5},
+	{at: 0.66, share: 1},
 }
 
 // completeAt is the part of the order's time after which a version that took all is done.
-const completeAt = 0.85
+const completeAt = 0.88
 
 // hold returns how long a stage lasts of an order's time.
 func hold(n int, within time.Duration) time.Duration {
@@ -78,7 +80,7 @@
 }
 
 // spread is the part of an order's time over which entries spread their writes.
-const spread = 0.04
+const spread = 0.02
 
 // turn returns how long an entry waits beyond a stage's end before it writes, so that one
 // write suffices in most cases.
--- /dev/null
+++ b/internal/shifter/shifter_test.go
@@ -0,0 +1,167 @@
+package shifter
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+func load[T any](t *testing.T, file string) []T {
+	t.Helper()
+	b, err := os.ReadFile("testdata/" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []T
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	return cases
+}
+
+func testOrder(state model.RolloutStatus, reported model.VersionID) model.RolloutOrder {
+	o := model.RolloutOrder{Service: "drafts", Version: "v2", Within: 24 * time.Second, Created: 7, State: state}
+	if state != "" {
+		o.Reported = "v2"
+	}
+	if reported != "" {
+		o.Reported = reported
+	}
+	return o
+}
+
+// TestChoose answers traffic of sessions whose requests come through several entries.
+func TestChoose(t *testing.T) {
+	type choiceCase struct {
+		Name     string
+		Order    *string
+		Stage    int
+		State    model.RolloutStatus
+		Reported model.VersionID
+		Bad      bool
+		Session  string
+		Known    bool
+		Last     bool
+		Want     map[model.VersionID]bool
+	}
+	for _, c := range load[choiceCase](t, "choices.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			choice := choose(chooseInput{
+				order: testOrder(c.State, c.Reported), stage: c.Stage, bad: c.Bad, session: c.Session, known: c.Known, last: c.Last,
+			})
+			if c.Order != nil {
+				choice = Choice{}
+			}
+			got := map[model.VersionID]bool{"v1": choice.Allows("v1"), "v2": choice.Allows("v2")}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("allowed versions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSharesAgree checks that entries which know nothing of a session send it to the same
+// version, that no session goes back as the share rises, and that the shares are kept.
+func TestSharesAgree(t *testing.T) {
+	const sessions = 20_000
+	before := map[string]bool{}
+	for n, s := range stages {
+		moved := 0
+		for i := range sessions {
+			id := fmt.Sprintf("session-%d", i)
+			c := choose(chooseInput{order: testOrder(model.RolloutRunning, ""), stage: n, session: id})
+			if before[id] && !c.Only {
+				t.Fatalf("session %s went back at stage %d", id, n)
+			}
+			before[id] = c.Only
+			if c.Only {
+				moved++
+			}
+		}
+		if got := float64(moved) / sessions; got < s.share*0.8 || got > s.share*1.2 {
+			t.Errorf("stage %d has a share of %.3f, want %.3f", n, got, s.share)
+		}
+	}
+}
+
+// TestExposure checks that a version that fails only under full load stays within the exposure
+// bound: what the stages before give it, and two seconds of all requests of a day with an order
+// of 24 s.
+func TestExposure(t *testing.T) {
+	const bound, found, within = 0.15, 2.0, 24.0
+	exposed := 0.0
+	for n, s := range stages[:len(stages)-1] {
+		exposed += s.share * (stages[n+1].at - s.at)
+	}
+	exposed += found / within
+	if exposed > bound+0.02 {
+		t.Errorf("exposed to %.3f of the requests, want at most %.3f and the slack", exposed, bound)
+	}
+}
+
+func TestDue(t *testing.T) {
+	type deedCase struct {
+		Name  string
+		Stage int
+		At    time.Duration
+		State model.RolloutStatus
+		Bad   bool
+		Busy  bool
+		Want  deed
+	}
+	start := time.Unix(1000, 0)
+	for _, c := range load[deedCase](t, "deeds.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			r := &roll{order: testOrder(c.State, ""), stage: c.Stage, since: start, bad: c.Bad, busy: c.Busy}
+			if diff := cmp.Diff(c.Want, due(r, "entry-1", start.Add(c.At))); diff != "" {
+				t.Errorf("deed (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestVerdict replays outcomes of an old and a new version.
+func TestVerdict(t *testing.T) {
+	type phase struct {
+		Old     bool
+		N       int
+		Servers int
+		Every   int
+		Ms      int
+		Alone   bool
+	}
+	type verdictCase struct {
+		Name   string
+		Phases []phase
+		Bad    bool
+	}
+	for _, c := range load[verdictCase](t, "verdicts.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			j := newJudge()
+			bad := false
+			for _, p := range c.Phases {
+				for i := range p.N {
+					o := forwarder.Outcome{
+						Backend: model.BackendID(fmt.Sprint("b", i%max(p.Servers, 1))), Route: "r", Model: "m",
+						Failed: p.Every > 0 && i%p.Every == 0, First: time.Duration(p.Ms) * time.Millisecond,
+					}
+					if p.Old {
+						j.control(o)
+						continue
+					}
+					bad = bad || j.observe(o, !p.Alone).Bad
+				}
+			}
+			if diff := cmp.Diff(c.Bad, bad); diff != "" {
+				t.Errorf("bad (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
