Spend fewer calls on the store; reload settings on SIGHUP

Change: watches of backend servers, orders and marks wait 20 s, since probes and the plan's watch find a silent connection; changes in quick succession cost one call; an empty watch confirms the plan up to its possible deafness. SIGHUP and a changed file reload the settings, wrong ones leave the last in force.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -1,14 +1,18 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
@@ -52,6 +56,8 @@
 
 func (d *directCommand) serve(ctx context.Context, ps platform.Settings, out io.Writer) error {
 	s := ps.Direct()
+	// A log that nobody reads must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	m := meter.New()
 	lines := logger.Bounded(out, func(n int) { m.Count("log/lost", n) })
@@ -86,6 +92,9 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	wg.Go(func() { belief.Run(life) })
 	wg.Go(func() { versions.Run(life) })
+	wg.Go(func() {
+		d.reload(life, log, func(s model.DirectSettings) { belief.SetTrust(s.Trust); f.SetRepeats(s.Repeats) })
+	})
 	err = f.Run(ctx, listeners)
 	end()
 	wg.Wait()
@@ -93,6 +102,49 @@
 	return err
 }
 
+// reloadEvery is how often the settings file is looked at, since it may change without a signal.
+const reloadEvery = 2 * time.Second
+
+// reload applies changed settings on a signal or when the file changed. Settings that are
+// wrong leave the last ones in force.
+func (d *directCommand) reload(ctx context.Context, log zerolog.Logger, apply func(model.DirectSettings)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	path := os.Getenv(platform.SettingsVariable)
+	var last []byte
+	for {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			log.Error().Err(err).Msg("direct: settings cannot be read, the last ones stay in force")
+		} else if last != nil && !bytes.Equal(b, last) {
+			d.applySettings(log, b, apply)
+		}
+		if err == nil {
+			last = b
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info().Msg("direct: asked to reload")
+		case <-t.C:
+		}
+	}
+}
+
+func (*directCommand) applySettings(log zerolog.Logger, b []byte, apply func(model.DirectSettings)) {
+	s, err := platform.ParseSettings(b)
+	if err != nil {
+		log.Error().Err(err).Msg("direct: settings are wrong, the last ones stay in force")
+		return
+	}
+	apply(s.Direct())
+	log.Info().Msg("direct: settings reloaded")
+}
+
 // listenDirect opens the sockets; metrics are left out if their address is taken.
 func listenDirect(s model.DirectSettings, log zerolog.Logger) (forwarder.Listeners, error) {
 	var l forwarder.Listeners
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,14 +16,20 @@
 )
 
 const (
-	// planWait bounds a watch of the plan. Each answer confirms the keys as of the watch's start,
-	// so knowledge is at most two waits old while the store answers.
-	planWait = time.Second
-	// serversWait is under the time in which a leaving backend server must get nothing new, so
-	// that a connection that fell silent is noticed before.
-	serversWait = 2 * time.Second
-	// otherWait is for kinds whose changes nobody waits for within seconds.
-	otherWait = 3 * time.Second
+	// planWait bounds a watch of the plan. While the store answers, keys are confirmed this often;
+	// shorter waits cost a call each, longer ones leave less of the trust when an outage begins.
+	planWait = 2 * time.Second
+	// deafness is how long a watch may miss changes: a store that compacts its history leaves
+	// watches without word for about a second before it cuts them.
+	deafness = 1200 * time.Millisecond
+	// otherWait bounds the other watches. A connection that falls silent is found by its probes
+	// and by the plan's watch.
+	otherWait = 20 * time.Second
+	// planGap, serversGap and otherGap space the answers of a watch, so that changes in quick
+	// succession cost one call. They are small beside the time in which a change must hold.
+	planGap    = 150 * time.Millisecond
+	serversGap = 300 * time.Millisecond
+	otherGap   = 50 * time.Millisecond
 	// firstPause and maxPause space the calls to a store that fails. The plan's are closer, since
 	// requests with keys are refused until it answers again.
 	firstPause   = 100 * time.Millisecond
@@ -73,6 +79,8 @@
 	marks     map[string]storer.Object
 	listed    map[string]bool
 	onMark    []func(storer.Object)
+	// interrupted is closed and replaced when the store is lost.
+	interrupted chan struct{}
 }
 
 // New returns a follower that has read nothing.
@@ -83,6 +91,8 @@
 		orders:  map[model.ServiceID]model.RolloutOrder{},
 		marks:   map[string]storer.Object{},
 		listed:  map[string]bool{},
+
+		interrupted: make(chan struct{}),
 	}
 }
 
@@ -90,10 +100,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, k := range []stream{
-		{kind: f.cfg.Kinds.Plan, wait: planWait, pause: maxPlanPause, apply: f.applyPlan, confirm: f.confirm},
-		{kind: f.cfg.Kinds.Servers, wait: serversWait, pause: maxPause, apply: f.applyServers},
-		{kind: f.cfg.Kinds.Orders, wait: otherWait, pause: maxPause, apply: f.applyOrders},
-		{kind: f.cfg.Kinds.Marks, wait: otherWait, pause: maxPause, apply: f.applyMarks},
+		{kind: f.cfg.Kinds.Plan, wait: planWait, gap: planGap, pause: maxPlanPause, apply: f.applyPlan, confirm: f.confirm},
+		{kind: f.cfg.Kinds.Servers, wait: otherWait, gap: serversGap, pause: maxPause, apply: f.applyServers},
+		{kind: f.cfg.Kinds.Orders, wait: otherWait, gap: otherGap, pause: maxPause, apply: f.applyOrders},
+		{kind: f.cfg.Kinds.Marks, wait: otherWait, gap: otherGap, pause: maxPause, apply: f.applyMarks},
 	} {
 		wg.Go(func() { f.follow(ctx, k) })
 	}
@@ -110,11 +120,13 @@
 
 // stream is one kind that is followed.
 type stream struct {
-	kind    string
-	wait    time.Duration
-	pause   time.Duration
-	apply   func(b batch, now time.Time)
-	confirm func(sent time.Duration)
+	kind  string
+	wait  time.Duration
+	gap   time.Duration
+	pause time.Duration
+	apply func(b batch, now time.Time)
+	// confirm is nil for kinds other than the plan. Sent and answered are times since boot.
+	confirm func(sent, answered time.Duration)
 }
 
 // outage is how long the store must be out of reach for its entries to lapse meanwhile.
@@ -128,7 +140,7 @@
 	for ctx.Err() == nil {
 		sent := f.cfg.Clock()
 		listing, err := f.read(ctx, s, from, full, !lostAt.IsZero())
-		now := time.Now()
+		now, answered := time.Now(), f.cfg.Clock()
 		switch {
 		case err == nil && listing.Revision < from:
 			// An answer from before what is known already: a stale read.
@@ -148,6 +160,9 @@
 			if lostAt.IsZero() {
 				lostAt = now
 				f.cfg.Log.Warn().Err(err).Str("kind", s.kind).Int64("from", int64(from)).Msg("follower: store lost")
+				if s.confirm != nil {
+					f.interrupt()
+				}
 			}
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, s.pause)
@@ -165,11 +180,42 @@
 		}
 		from, full = listing.Revision, false
 		if s.confirm != nil {
-			s.confirm(sent)
+			s.confirm(sent, answered)
+		}
+		if len(listing.Objects) > 0 {
+			sleep(ctx, s.gap)
 		}
 	}
 }
 
+// interrupt ends the watches of the other kinds, whose connections may be silent as well.
+func (f *Follower) interrupt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.interrupted)
+	f.interrupted = make(chan struct{})
+}
+
+// watch waits for changes until the plan's watch finds that the store is lost.
+func (f *Follower) watch(ctx context.Context, s stream, from model.Revision) (storer.Listing, error) {
+	if s.confirm != nil {
+		return f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.RLock()
+	interrupted := f.interrupted
+	f.mu.RUnlock()
+	go func() {
+		select {
+		case <-interrupted:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
+}
+
 func (f *Follower) read(ctx context.Context, s stream, from model.Revision, full, lost bool) (storer.Listing, error) {
 	switch {
 	case full:
@@ -177,7 +223,7 @@
 	case lost:
 		return f.cfg.Store.Watch(ctx, s.kind, from, noWait)
 	}
-	return f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
+	return f.watch(ctx, s, from)
 }
 
 func (f *Follower) count(s stream, result string) {
@@ -190,10 +236,19 @@
 	f.listed[kind] = true
 }
 
-func (f *Follower) confirm(sent time.Duration) {
+// confirm counts an answer on the plan. It holds as of the start of the call, and of a watch
+// that waited as of its end less the time for which it may have been deaf.
+func (f *Follower) confirm(sent, answered time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmed, f.known = max(sent, answered-deafness), true
+}
+
+// SetTrust changes how long keys are believed without word from the store.
+func (f *Follower) SetTrust(d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.confirmed, f.known = sent, true
+	f.cfg.Trust = d
 }
 
 // trustMargin covers the time between the check of a key and the arrival at the backend server.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -111,6 +111,9 @@
 	return f
 }
 
+// SetRepeats changes the bound on requests that are sent once more.
+func (f *Forwarder) SetRepeats(s model.RepeatSettings) { f.repeats.Set(s.Ratio, s.Window) }
+
 // Listeners are the sockets of a forwarder; Metrics may be nil.
 type Listeners struct {
 	Callers, Ready, Metrics net.Listener
--- a/internal/limiter/repeats.go
+++ b/internal/limiter/repeats.go
@@ -32,6 +32,16 @@
 	return &Repeats{ratio: ratio, window: window, services: map[model.ServiceID]*account{}}
 }
 
+// Set changes the bound; a changed window starts new accounts.
+func (r *Repeats) Set(ratio float64, window time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if window != r.window {
+		clear(r.services)
+	}
+	r.ratio, r.window = ratio, window
+}
+
 // First counts a request that was taken.
 func (r *Repeats) First(s model.ServiceID, now time.Time) {
 	r.mu.Lock()
