Place prompts where the first token comes earliest; short work first

Change: picker.Earliest weighs the time to read what is in front, the prompt itself less what is kept, the batch and the distance; each memory has a home engine in the region. Engines get an urgency by the size of the model and the prompt. Reading speeds are learned.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -181,7 +181,14 @@
 	}
 	h.Set(n.TimeLeft, strconv.FormatInt(max(c.deadline.Sub(now).Milliseconds(), 1), 10))
 	if c.service.Engine != nil {
-		h.Set(n.Rank, strconv.Itoa(min(max(c.rank, 0), 9)))
+		r := 0
+		if c.model == c.route.Models[len(c.route.Models)-1] {
+			r = 3
+		}
+		for t := 2000; t < c.prompt.tokens; t *= 3 {
+			r++
+		}
+		h.Set(n.Rank, strconv.Itoa(min(max(r, 0), 9)))
 	}
 	if c.model != "" {
 		h.Set(n.Model, string(c.model))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -90,6 +90,7 @@
 	ladder  chooser.Ladder
 	repeats *limiter.Repeats
 	peers   *peerTable
+	speeds  *speeds
 	bodies  *semaphore.Weighted
 	own     map[string]bool
 	leaving atomic.Bool
@@ -102,6 +103,7 @@
 		ladder:  chooser.NewLadder(cfg.Ladder),
 		repeats: limiter.NewRepeats(cfg.Settings.Repeats.Ratio, cfg.Settings.Repeats.Window),
 		peers:   newPeerTable(),
+		speeds:  newSpeeds(),
 		bodies:  semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyShare),
 		own:     map[string]bool{},
 	}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -20,6 +20,8 @@
 	sweepEvery = time.Second
 	// reportAge is how long a report counts fully; the load behind it lasts about as long.
 	reportAge = 2 * time.Second
+	// keptFor is how long shared parts of a prompt are taken to stay in an engine's memory.
+	keptFor = 15 * time.Second
 )
 
 // peerKey names one life of a backend server at one address.
@@ -45,9 +47,12 @@
 	sent     int
 	done     int
 	open     int
-	front    float64
-	idle     []*conn
-	used     time.Time
+	// backlog is the time that the prompts sent and not yet answered take to read.
+	backlog time.Duration
+	// kept tells when shared parts of prompts were read there last.
+	kept map[string]time.Time
+	idle []*conn
+	used time.Time
 }
 
 // peerTable holds the peers.
@@ -103,6 +108,11 @@
 			}
 		}
 		p.idle = kept
+		for memory, at := range p.kept {
+			if now.Sub(at) > keptFor {
+				delete(p.kept, memory)
+			}
+		}
 		forget := p.open == 0 && len(p.idle) == 0 && now.Sub(p.used) > peerIdle
 		p.mu.Unlock()
 		if forget {
@@ -115,28 +125,48 @@
 func (p *peer) view(s model.BackendServer, now time.Time) (picker.Backend, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := picker.Backend{Server: s, Open: p.open, Front: p.front}
+	b := picker.Backend{Server: s, Open: p.open}
 	if now.Sub(p.reported) < reportAge {
 		b.Running, b.Waiting, b.Sent, b.Done = p.running, p.waiting, p.sent, p.done
 	}
 	return b, p.breaker.Open(now)
 }
 
-// begin counts a request with prompt tokens that are to be read.
-func (p *peer) begin(front float64, now time.Time) {
+// engine returns the peer as an engine for a prompt whose shared parts are named by memory.
+func (p *peer) engine(s model.BackendServer, memory string, now time.Time) (picker.Engine, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := picker.Engine{Server: s, Backlog: p.backlog, Busy: p.open}
+	if now.Sub(p.reported) < reportAge {
+		e.Busy = max(e.Busy, p.running+p.waiting+p.sent-p.done)
+	}
+	at, ok := p.kept[memory]
+	e.Kept = ok && now.Sub(at) < keptFor
+	return e, p.breaker.Open(now)
+}
+
+// begin counts a request whose prompt takes a time to read.
+func (p *peer) begin(read time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open++
 	p.sent++
-	p.front += front
+	p.backlog += read
 	p.used = now
 }
 
-// started counts that a request's prompt was read.
-func (p *peer) started(front float64) {
+// started counts that a request's prompt was read, and that its shared parts are kept.
+func (p *peer) started(read time.Duration, memory string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.front = max(0, p.front-front)
+	p.backlog = max(0, p.backlog-read)
+	if memory == "" {
+		return
+	}
+	if p.kept == nil {
+		p.kept = map[string]time.Time{}
+	}
+	p.kept[memory] = now
 }
 
 // end counts the end of a request.
--- /dev/null
+++ b/internal/forwarder/place.go
@@ -0,0 +1,87 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/picker"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// pick chooses the backend server of the next attempt.
+func (f *Forwarder) pick(c *call, now time.Time) (*peer, bool) {
+	versions := f.cfg.Versions.Choose(c.service.Service, c.session, now)
+	servers := f.cfg.Belief.Servers(c.service.Service, now)
+	open := make([]model.BackendServer, 0, len(servers))
+	for _, s := range servers {
+		if versions.Allows(s.Version) && !c.tried[s.Backend] && s.State == model.BackendReady {
+			open = append(open, s)
+		}
+	}
+	if c.service.Engine != nil {
+		return f.pickEngine(c, open, now)
+	}
+	return f.pickPlain(c, open, now)
+}
+
+func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
+	in := picker.DirectInput{Self: f.cfg.Settings.Place, Dice: rand.Float64(), Now: now, Excluded: map[model.BackendID]bool{}}
+	for _, s := range servers {
+		b, cut := f.peers.get(s, now).view(s, now)
+		in.Excluded[s.Backend] = cut
+		in.Backends = append(in.Backends, b)
+	}
+	if allCut(in.Excluded) {
+		clear(in.Excluded)
+	}
+	choice := picker.LeastLoaded{}.Decide(in)
+	if !choice.Found {
+		return nil, false
+	}
+	c.read = 0
+	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
+		Float64("load", choice.Load).Int("open", choice.Open).Int("sent", c.sent).Msg("forwarder: placed")
+	return f.peers.get(choice.Server, now), true
+}
+
+func (f *Forwarder) pickEngine(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
+	read, shared := f.speeds.times(c.model, c.service.Engine, c.prompt)
+	in := picker.EngineInput{
+		Self: f.cfg.Settings.Place, Memory: c.memory(), Read: read, Shared: shared, Now: now, Excluded: map[model.BackendID]bool{},
+	}
+	for _, s := range servers {
+		e, cut := f.peers.get(s, now).engine(s, in.Memory, now)
+		in.Excluded[s.Backend] = cut
+		in.Engines = append(in.Engines, e)
+	}
+	if allCut(in.Excluded) {
+		clear(in.Excluded)
+	}
+	choice := picker.Earliest{}.Decide(in)
+	if !choice.Found {
+		return nil, false
+	}
+	c.read, c.unread = read, c.prompt.tokens
+	if choice.Kept {
+		c.read, c.unread = read-shared, c.prompt.tokens-c.prompt.sharedTokens
+	}
+	c.alone = choice.Wait-c.read < aloneWait
+	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
+		Str("model", string(c.model)).Str("session", c.session).Dur("wait", choice.Wait).Dur("read", c.read).Bool("kept", choice.Kept).
+		Int("tokens", c.prompt.tokens).Int("open", choice.Open).Int("sent", c.sent).Msg("forwarder: placed")
+	return f.peers.get(choice.Server, now), true
+}
+
+// aloneWait is the wait under which a prompt is taken to be read at once.
+const aloneWait = 100 * time.Millisecond
+
+// allCut reports whether breakers keep all backend servers out; then any may be the first to
+// be back.
+func allCut(excluded map[model.BackendID]bool) bool {
+	for _, cut := range excluded {
+		if !cut {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -44,6 +44,12 @@
 	// session names the requests that belong together.
 	session string
 	print   uint64
+	// read is the expected time to read the prompt at the present backend server; alone means
+	// that it did not have to wait for others.
+	read  time.Duration
+	alone bool
+	// unread is the number of prompt tokens that are not kept there.
+	unread int
 	// began is when the present attempt was sent.
 	began time.Time
 	// sent counts backend servers that were handed the request, dials those that were not reached.
@@ -61,13 +67,11 @@
 type prompt struct {
 	tokens int
 	output int
-	// shared names the longest run of parts that other requests have as well.
-	shared string
+	// shared names the longest run of parts that other requests have as well, of sharedTokens.
+	shared       string
+	sharedTokens int
 }
 
-// size weighs the work of a request in prompt tokens.
-func (p prompt) size() int { return p.tokens }
-
 // read checks a request and takes its body. The release gives the body's memory back.
 func (f *Forwarder) read(r *http.Request, now time.Time) (c *call, release func(), refusal *model.Refusal) {
 	release = func() {}
@@ -194,8 +198,12 @@
 func readPrompt(prefix, usage string) prompt {
 	var p prompt
 	parts := strings.Split(prefix, ",")
-	if len(parts) > 1 {
-		p.shared, _, _ = strings.Cut(strings.TrimSpace(parts[len(parts)-2]), ":")
+	for _, part := range parts[:len(parts)-1] {
+		name, n, _ := strings.Cut(strings.TrimSpace(part), ":")
+		p.shared = name
+		if tokens, err := strconv.Atoi(n); err == nil {
+			p.sharedTokens += max(tokens, 0)
+		}
 	}
 	in, out, _ := strings.Cut(usage, ",")
 	if n, err := strconv.Atoi(strings.TrimSpace(in)); err == nil {
@@ -256,8 +264,8 @@
 	return d.Sum64()
 }
 
-// affinity names what a backend server should have in memory for the model.
-func (c *call) affinity() string {
+// memory names what an engine should have in its memory for the model.
+func (c *call) memory() string {
 	if c.prompt.shared == "" {
 		return ""
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
-	"github.com/bramleyhinge/bramleyhinge/internal/picker"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -57,18 +55,14 @@
 	last := model.Refuse(model.KindNoBackend, "no backend server is ready").WithRetry(time.Second)
 	for {
 		now := time.Now()
-		choice, p := f.pick(c, now)
-		if !choice.Found {
+		p, ok := f.pick(c, now)
+		if !ok {
 			break
 		}
-		front := f.weigh(c)
-		p.begin(front, now)
+		p.begin(c.read, now)
 		c.began = now
-		f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
-			Str("model", string(c.model)).Str("session", c.session).Str("why", choice.Why).Float64("load", choice.Load).Int("open", choice.Open).Int("sent", c.sent).
-			Msg("forwarder: placed")
 		rep, fail := f.exchange(ctx, c, p, f.patience(c))
-		p.started(front)
+		p.started(c.read, c.memory(), time.Now())
 		if fail == nil {
 			fail = f.deliver(ctx, c, rep, out)
 		}
@@ -166,51 +160,6 @@
 	return later
 }
 
-// pick chooses the backend server of the next attempt.
-func (f *Forwarder) pick(c *call, now time.Time) (picker.DirectChoice, *peer) {
-	servers := f.cfg.Belief.Servers(c.service.Service, now)
-	versions := f.cfg.Versions.Choose(c.service.Service, c.session, now)
-	in := picker.DirectInput{Self: f.cfg.Settings.Place, Affinity: c.affinity(), Dice: rand.Float64(), Now: now, Excluded: map[model.BackendID]bool{}}
-	cut := 0
-	for _, s := range servers {
-		if !versions.Allows(s.Version) || c.tried[s.Backend] || s.State != model.BackendReady {
-			continue
-		}
-		b, open := f.peers.get(s, now).view(s, now)
-		if open {
-			in.Excluded[s.Backend] = true
-			cut++
-		}
-		in.Backends = append(in.Backends, b)
-	}
-	if cut == len(in.Backends) {
-		// With all breakers open, any backend server may be the first to be back.
-		clear(in.Excluded)
-	}
-	choice := picker.Direct{}.Decide(in)
-	if !choice.Found {
-		return choice, nil
-	}
-	return choice, f.peers.get(choice.Server, now)
-}
-
-// weigh returns the work of reading the request's prompt, by the size of its model.
-func (f *Forwarder) weigh(c *call) float64 {
-	e := c.service.Engine
-	if e == nil {
-		return 0
-	}
-	dearest := 0.0
-	for _, cost := range e.Costs {
-		dearest = max(dearest, cost)
-	}
-	share := 1.0
-	if cost, ok := e.Costs[c.model]; ok && dearest > 0 {
-		share = cost / dearest
-	}
-	return float64(c.prompt.size()) * share
-}
-
 // patience is how long an attempt may take to the head of its answer while another one could
 // still be made.
 func (f *Forwarder) patience(c *call) time.Duration {
@@ -241,12 +190,16 @@
 	}
 	now := time.Now()
 	f.cfg.Versions.Observe(f.outcome(c, rep.peer, false, now), now)
+	if c.alone && c.service.Engine != nil {
+		f.speeds.observe(c.model, c.service.Engine, c.unread, now.Sub(c.began))
+	}
 	next, why := f.ladder.Step(chooser.StepInput{
 		Models: c.route.Models, Ran: c.model, Confidence: confidence, Rank: c.route.Rank,
 		Attempts: c.route.Attempts - c.sent,
 		Repeat:   f.repeats.Allowed(c.service.Service, repeatReserve, now),
 	})
 	f.cfg.Log.Info().Str("request", c.id).Str("model", string(c.model)).Int("confidence", confidence).Str("next", string(next)).Str("why", why).
+		Str("backend", string(rep.peer.server.Backend)).Dur("head", now.Sub(c.began)).
 		Msg("forwarder: weighed an answer")
 	if next == "" {
 		return false
