Leave engines to the smallest model; lower the floor of confidence with the fill

Cause: a batch is as slow as its slowest model, so streams of the smallest model took 10 s beside the largest one, and at high load every second request was run again by the largest model, which filled its engines: streams of 8 s in the median were in flight when processes were killed.

Change: a quarter of each region's engines is left to the smallest model by a rule that all entries derive alike. The ladder's floor falls as the engines of the larger model fill, and when its answer would be late.

A fixed floor is best for one load only.

--- a/internal/chooser/ladder.go
+++ b/internal/chooser/ladder.go
@@ -39,14 +39,30 @@
 	Attempts int
 	// Repeat tells whether the budget of repeats has room.
 	Repeat bool
+	// Fill is the filled part of the batches of engines that run the larger model.
+	Fill float64
+	// Late tells that the larger model's first token is expected after the target.
+	Late bool
 }
 
+const (
+	// easyFill is the fill up to which a larger model is asked freely: its answers then come
+	// within their targets. Above, each further request slows all others.
+	easyFill = 0.1
+	// fullFill is the fill from which on only the poorest answers are dropped.
+	fullFill = 0.4
+	// leastPart is the part of the floor that is left then.
+	leastPart = 0.2
+	// latePart is the part of the floor for an answer that would come late.
+	latePart = 0.5
+)
+
 // Step returns the model to ask instead, or none if the answer stands, and why.
 func (l Ladder) Step(in StepInput) (model.ModelID, string) {
 	if len(in.Models) == 0 || in.Ran == in.Models[len(in.Models)-1] || in.Confidence < 0 {
 		return "", "nothing larger is to be asked"
 	}
-	floor := l.floor(in.Rank)
+	floor := l.floor(in)
 	switch {
 	case in.Confidence >= floor:
 		return "", fmt.Sprintf("confidence %d reaches %d", in.Confidence, floor)
@@ -58,9 +74,15 @@
 	return in.Models[len(in.Models)-1], fmt.Sprintf("confidence %d is under %d", in.Confidence, floor)
 }
 
-func (l Ladder) floor(rank int) int {
+// floor is the confidence that an answer must reach. It answers load on the larger model: the
+// fuller its engines are, the more a further request slows all that run there.
+func (l Ladder) floor(in StepInput) int {
 	if len(l.cfg.Floors) == 0 {
 		return 0
 	}
-	return l.cfg.Floors[min(max(rank, 0), len(l.cfg.Floors)-1)]
+	part := 1 - (1-leastPart)*min(max((in.Fill-easyFill)/(fullFill-easyFill), 0), 1)
+	if in.Late {
+		part *= latePart
+	}
+	return int(part * float64(l.cfg.Floors[min(max(in.Rank, 0), len(l.cfg.Floors)-1)]))
 }
--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -34,11 +34,16 @@
 // memoryShare is the part of the process's memory that the garbage collector aims to stay under.
 const memoryShare = 0.6
 
-type directCommand struct{ level string }
+type directCommand struct {
+	level  string
+	floors []int
+}
 
 func bindDirect(c *kingpin.CmdClause) command {
 	d := &directCommand{}
 	c.Flag("log", "Log level: debug, info, warn or error.").Default("info").EnumVar(&d.level, "debug", "info", "warn", "error")
+	c.Flag("floor", "Confidence in percent under which an answer is dropped for one of the largest model, for each rank of urgency from the first.").
+		Default("65", "55", "45").IntsVar(&d.floors)
 	return d
 }
 
@@ -84,7 +89,7 @@
 		Settings: s, Names: platform.Names(), Belief: belief,
 		Versions: versions,
 		Poison:   quarantiner.New(),
-		Ladder:   chooser.LadderConfig{Floors: []int{70, 60, 50}},
+		Ladder:   chooser.LadderConfig{Floors: d.floors},
 		Clock:    follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -10,6 +10,15 @@
 
 // pick chooses the backend server of the next attempt.
 func (f *Forwarder) pick(c *call, now time.Time) (*peer, bool) {
+	open := f.open(c, now)
+	if c.service.Engine != nil {
+		return f.pickEngine(c, open, now)
+	}
+	return f.pickPlain(c, open, now)
+}
+
+// open returns the backend servers that may get the call's next attempt.
+func (f *Forwarder) open(c *call, now time.Time) []model.BackendServer {
 	versions := f.cfg.Versions.Choose(c.service.Service, c.session, now)
 	servers := f.cfg.Belief.Servers(c.service.Service, now)
 	open := make([]model.BackendServer, 0, len(servers))
@@ -18,10 +27,7 @@
 			open = append(open, s)
 		}
 	}
-	if c.service.Engine != nil {
-		return f.pickEngine(c, open, now)
-	}
-	return f.pickPlain(c, open, now)
+	return open
 }
 
 func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
@@ -44,10 +50,13 @@
 	return f.peers.get(choice.Server, now), true
 }
 
-func (f *Forwarder) pickEngine(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
-	read, shared := f.speeds.times(c.model, c.service.Engine, c.prompt)
-	in := picker.EngineInput{
-		Self: f.cfg.Settings.Place, Memory: c.memory(), Read: read, Shared: shared, Now: now, Excluded: map[model.BackendID]bool{},
+// weighEngines returns the engine that the call's prompt should go to with a model.
+func (f *Forwarder) weighEngines(c *call, m model.ModelID, servers []model.BackendServer, now time.Time) (picker.EngineChoice, picker.EngineInput) {
+	in := picker.EngineInput{Self: f.cfg.Settings.Place, Memory: c.memory(m), Now: now, Excluded: map[model.BackendID]bool{}}
+	in.Read, in.Shared = f.speeds.times(m, c.service.Engine, c.prompt)
+	if len(c.route.Models) > 1 {
+		in.Small = m == c.route.Models[0]
+		in.Large = !in.Small
 	}
 	for _, s := range servers {
 		e, cut := f.peers.get(s, now).engine(s, in.Memory, now)
@@ -57,18 +66,23 @@
 	if allCut(in.Excluded) {
 		clear(in.Excluded)
 	}
-	choice := picker.Earliest{}.Decide(in)
+	return picker.Earliest{}.Decide(in), in
+}
+
+func (f *Forwarder) pickEngine(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
+	choice, in := f.weighEngines(c, c.model, servers, now)
 	if !choice.Found {
 		return nil, false
 	}
-	c.read, c.unread = read, c.prompt.tokens
+	c.read, c.unread = in.Read, c.prompt.tokens
 	if choice.Kept {
-		c.read, c.unread = read-shared, c.prompt.tokens-c.prompt.sharedTokens
+		c.read, c.unread = in.Read-in.Shared, c.prompt.tokens-c.prompt.sharedTokens
 	}
 	c.alone = choice.Wait-c.read < aloneWait
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Str("model", string(c.model)).Str("session", c.session).Dur("wait", choice.Wait).Dur("read", c.read).Bool("kept", choice.Kept).
-		Int("tokens", c.prompt.tokens).Int("open", choice.Open).Int("sent", c.sent).Msg("forwarder: placed")
+		Int("busy", choice.Busy).Float64("fill", choice.Fill).Int("tokens", c.prompt.tokens).Int("open", choice.Open).Int("sent", c.sent).
+		Msg("forwarder: placed")
 	return f.peers.get(choice.Server, now), true
 }
 
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -265,11 +265,11 @@
 }
 
 // memory names what an engine should have in its memory for the model.
-func (c *call) memory() string {
+func (c *call) memory(m model.ModelID) string {
 	if c.prompt.shared == "" {
 		return ""
 	}
-	return c.prompt.shared + "\x00" + string(c.model)
+	return c.prompt.shared + "\x00" + string(m)
 }
 
 // hostName drops the port of a Host header.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -62,7 +62,7 @@
 		p.begin(c.read, now)
 		c.began = now
 		rep, fail := f.exchange(ctx, c, p, f.patience(c))
-		p.started(c.read, c.memory(), time.Now())
+		p.started(c.read, c.memory(c.model), time.Now())
 		if fail == nil {
 			fail = f.deliver(ctx, c, rep, out)
 		}
@@ -193,13 +193,17 @@
 	if c.alone && c.service.Engine != nil {
 		f.speeds.observe(c.model, c.service.Engine, c.unread, now.Sub(c.began))
 	}
+	larger := c.route.Models[len(c.route.Models)-1]
+	choice, _ := f.weighEngines(c, larger, f.open(c, now), now)
 	next, why := f.ladder.Step(chooser.StepInput{
 		Models: c.route.Models, Ran: c.model, Confidence: confidence, Rank: c.route.Rank,
 		Attempts: c.route.Attempts - c.sent,
-		Repeat:   f.repeats.Allowed(c.service.Service, repeatReserve, now),
+		Repeat:   choice.Found && f.repeats.Allowed(c.service.Service, repeatReserve, now),
+		Fill:     choice.Fill,
+		Late:     now.Add(choice.Wait).Sub(c.start) > c.route.Target,
 	})
 	f.cfg.Log.Info().Str("request", c.id).Str("model", string(c.model)).Int("confidence", confidence).Str("next", string(next)).Str("why", why).
-		Str("backend", string(rep.peer.server.Backend)).Dur("head", now.Sub(c.began)).
+		Float64("fill", choice.Fill).Dur("wait", choice.Wait).Str("backend", string(rep.peer.server.Backend)).Dur("head", now.Sub(c.began)).
 		Msg("forwarder: weighed an answer")
 	if next == "" {
 		return false
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,14 @@
 	batchWait = 600 * time.Millisecond
 	// coldWait is added for an engine that is still slow after its start.
 	coldWait = 300 * time.Millisecond
+	// smallShare is the part of a region's engines that is left to the smallest models: they do a
+	// quarter of the work.
+	smallShare = 0.25
+	// mixedSmall and mixedLarge are added where a model of the other size runs: a batch is as slow
+	// as its slowest model, so that a small one suffers itself, and a large one makes all others
+	// suffer.
+	mixedSmall = 300 * time.Millisecond
+	mixedLarge = 900 * time.Millisecond
 	// nearWait is a difference that is not worth leaving the place for where others look for
 	// the same memory.
 	nearWait = 20 * time.Millisecond
@@ -42,6 +51,9 @@
 	Self    model.Place
 	// Memory names the shared parts of the prompt with the model; empty if there are none.
 	Memory string
+	// Small tells that the smallest of several models is to run, Large that a larger one is. With
+	// neither, all engines are alike.
+	Small, Large bool
 	// Read is the time to read the whole prompt, Shared that for its shared parts.
 	Read, Shared time.Duration
 	Excluded     map[model.BackendID]bool
@@ -55,6 +67,10 @@
 	Kept   bool
 	// Wait is the expected time to the first token.
 	Wait time.Duration
+	// Busy is the number of requests that run or wait there.
+	Busy int
+	// Fill is the filled part of the batches of the region's engines for this size of model.
+	Fill float64
 	Open int
 }
 
@@ -72,25 +88,64 @@
 		return cmp.Compare(xxhash.Sum64String(in.Memory+"\x00"+string(b.Server.Backend)), xxhash.Sum64String(in.Memory+"\x00"+string(a.Server.Backend)))
 	})
 	home := false
+	small := smallEngines(in)
+	busy, slots := 0, 0
 	for _, e := range engines {
 		if e.Server.State != model.BackendReady || in.Excluded[e.Server.Backend] {
 			continue
 		}
 		best.Open++
-		if !home && e.Server.Place.Region == in.Self.Region {
+		mixed := in.Small && !small[e.Server.Backend] || in.Large && small[e.Server.Backend]
+		if !home && !mixed && e.Server.Place.Region == in.Self.Region {
 			// Others send prompts with the same parts there as well.
 			home, e.Kept = true, in.Memory != ""
 		}
+		if !mixed && e.Server.Place.Region == in.Self.Region {
+			busy += e.Busy
+			slots += e.Server.Slots
+		}
 		wait := expected(e, in)
+		switch {
+		case mixed && in.Small:
+			wait += mixedSmall
+		case mixed:
+			wait += mixedLarge
+		}
 		// The engines come in rendezvous order, so that entries which know of no memory agree.
 		if !best.Found || wait < at-nearWait {
 			at = wait
-			best.Server, best.Found, best.Kept, best.Wait = e.Server, true, e.Kept, wait
+			best.Server, best.Found, best.Kept, best.Wait, best.Busy = e.Server, true, e.Kept, wait, e.Busy
 		}
 	}
+	best.Fill = float64(busy) / float64(max(slots, 1))
 	return best
 }
 
+// smallEngines returns the engines of each region that are left to the smallest models; all
+// entries derive the same ones.
+func smallEngines(in EngineInput) map[model.BackendID]bool {
+	if !in.Small && !in.Large {
+		return nil
+	}
+	regions := map[model.RegionID][]model.BackendID{}
+	for _, e := range in.Engines {
+		if e.Server.State == model.BackendReady && !in.Excluded[e.Server.Backend] {
+			r := e.Server.Place.Region
+			regions[r] = append(regions[r], e.Server.Backend)
+		}
+	}
+	small := map[model.BackendID]bool{}
+	for _, ids := range regions {
+		slices.SortFunc(ids, func(a, b model.BackendID) int {
+			return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
+		})
+		for _, id := range ids[:int(math.Round(smallShare*float64(len(ids))))] {
+			small[id] = true
+		}
+	}
+	return small
+}
+
 func expected(e Engine, in EngineInput) time.Duration {
 	wait := e.Backlog + in.Read + time.Duration(float64(batchWait)*float64(e.Busy)/float64(max(e.Server.Slots, 1)))
 	if e.Kept {
