Do not step to a larger model whose answer would not be whole in time

Change: the ladder compares the expected time to the whole answer, from the caller's estimate of its length and the learned pace of events, with the time left.

--- a/internal/chooser/ladder.go
+++ b/internal/chooser/ladder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -43,6 +44,8 @@
 	Fill float64
 	// Late tells that the larger model's first token is expected after the target.
 	Late bool
+	// Whole is the expected time to its whole answer, Left the time until the request is over.
+	Whole, Left time.Duration
 }
 
 const (
@@ -55,6 +58,9 @@
 	leastPart = 0.2
 	// latePart is the part of the floor for an answer that would come late.
 	latePart = 0.5
+	// wholeMargin is the part of the time left that a whole answer may take: the length of an
+	// answer is known only by a rough estimate.
+	wholeMargin = 1.0
 )
 
 // Step returns the model to ask instead, or none if the answer stands, and why.
@@ -70,6 +76,8 @@
 		return "", "no attempt is left"
 	case !in.Repeat:
 		return "", "the budget of repeats is used up"
+	case float64(in.Whole) > wholeMargin*float64(in.Left):
+		return "", fmt.Sprintf("a larger model's answer would take %v of the %v left", in.Whole.Round(time.Millisecond), in.Left.Round(time.Millisecond))
 	}
 	return in.Models[len(in.Models)-1], fmt.Sprintf("confidence %d is under %d", in.Confidence, floor)
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -136,7 +136,8 @@
 	events := splitter.New(rep.Body)
 	rc := http.NewResponseController(out.w)
 	silence := max(leastSilence, gapFactor*c.route.Gap)
-	first := !c.passed
+	first, passed := !c.passed, 0
+	began := time.Now()
 	for {
 		until := time.Now().Add(silence)
 		if until.After(c.deadline) {
@@ -170,6 +171,7 @@
 			out.head(rep, -1)
 		}
 		c.passed = true
+		passed++
 		if id != "" {
 			c.lastEvent = id
 		}
@@ -187,6 +189,7 @@
 		out.head(rep, -1)
 	}
 	rep.finish(now)
+	f.speeds.wrote(c.model, passed, now.Sub(began))
 	f.ended(c, rep, now, nil)
 	return nil
 }
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -66,6 +66,7 @@
 // prompt is what a request tells of its prompt.
 type prompt struct {
 	tokens int
+	// output is the expected number of tokens of the answer.
 	output int
 	// shared names the longest run of parts that other requests have as well, of sharedTokens.
 	shared       string
@@ -96,6 +97,9 @@
 	c.setTime(r.Header.Get(f.cfg.Names.TimeLeft))
 	c.header = f.forwarded(r.Header)
 	c.prompt = readPrompt(r.Header.Get(f.cfg.Names.Prefix), r.Header.Get(f.cfg.Names.Usage))
+	if n, err := strconv.Atoi(r.Header.Get(f.cfg.Names.Length)); err == nil && n > 0 {
+		c.prompt.output = n
+	}
 	c.session = r.Header.Get(f.cfg.Names.Session)
 	c.lastEvent = r.Header.Get(f.cfg.Names.LastEvent)
 	if len(route.Models) > 0 {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -200,6 +200,8 @@
 		Attempts: c.route.Attempts - c.sent,
 		Repeat:   choice.Found && f.repeats.Allowed(c.service.Service, repeatReserve, now),
 		Fill:     choice.Fill,
+		Whole:    choice.Wait + f.speeds.answer(larger, c.service.Engine, c.prompt.output),
+		Left:     c.deadline.Sub(now),
 		Late:     now.Add(choice.Wait).Sub(c.start) > c.route.Target,
 	})
 	f.cfg.Log.Info().Str("request", c.id).Str("model", string(c.model)).Int("confidence", confidence).Str("next", string(next)).Str("why", why).
--- a/internal/forwarder/speeds.go
+++ b/internal/forwarder/speeds.go
@@ -26,9 +26,45 @@
 	mu sync.Mutex
 	// reads is the time in which a model reads a token.
 	reads map[model.ModelID]time.Duration
+	// writes is the time between the events of a model's stream.
+	writes map[model.ModelID]time.Duration
 }
 
-func newSpeeds() *speeds { return &speeds{reads: map[model.ModelID]time.Duration{}} }
+func newSpeeds() *speeds {
+	return &speeds{reads: map[model.ModelID]time.Duration{}, writes: map[model.ModelID]time.Duration{}}
+}
+
+// priorWrite is the time between events that is assumed before a stream was seen.
+const priorWrite = 100 * time.Millisecond
+
+// wrote takes the mean time between the events of a whole stream.
+func (s *speeds) wrote(m model.ModelID, events int, took time.Duration) {
+	if events < 2 {
+		return
+	}
+	between := took / time.Duration(events-1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.writes[m]
+	if !ok {
+		known = between
+	}
+	s.writes[m] = known + time.Duration(writeWeight*float64(between-known))
+}
+
+// writeWeight smooths the time between events.
+const writeWeight = 0.1
+
+// answer returns how long the model's answer of a number of tokens takes after its first event.
+func (s *speeds) answer(m model.ModelID, e *model.PlanEngine, output int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	between, ok := s.writes[m]
+	if !ok {
+		between = priorWrite
+	}
+	return between * time.Duration(output/max(e.Stride, 1))
+}
 
 // times returns how long the model reads a prompt and the shared parts of it.
 func (s *speeds) times(m model.ModelID, e *model.PlanEngine, p prompt) (whole, shared time.Duration) {
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -76,6 +76,8 @@
 type PlanEngine struct {
 	Slots  int
 	Memory Tokens
+	// Stride is the number of tokens in an event of a stream.
+	Stride int
 	Costs  map[ModelID]float64
 }
 
