Let one kind ask for a lost store; spread the return of refused callers

Cause: in an outage each entry polled four kinds; callers refused together returned together.

Change: the other kinds wait until the plan answers again; Retry-After is one second, spread by a quarter.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -34,7 +34,7 @@
 	// requests with keys are refused until it answers again.
 	firstPause   = 100 * time.Millisecond
 	maxPause     = 800 * time.Millisecond
-	maxPlanPause = 250 * time.Millisecond
+	maxPlanPause = 350 * time.Millisecond
 	// noWait asks for what a watch has at once, after the store was away.
 	noWait = time.Millisecond
 )
@@ -81,6 +81,8 @@
 	onMark    []func(storer.Object)
 	// interrupted is closed and replaced when the store is lost.
 	interrupted chan struct{}
+	// away is closed when the store is regained, and nil while it answers.
+	away chan struct{}
 }
 
 // New returns a follower that has read nothing.
@@ -161,11 +163,15 @@
 				lostAt = now
 				f.cfg.Log.Warn().Err(err).Str("kind", s.kind).Int64("from", int64(from)).Msg("follower: store lost")
 				if s.confirm != nil {
+					f.setAway(true)
 					f.interrupt()
 				}
 			}
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, s.pause)
+			if s.confirm == nil {
+				f.awaitStore(ctx)
+			}
 			continue
 		}
 		f.count(s, "answered")
@@ -180,6 +186,7 @@
 		}
 		from, full = listing.Revision, false
 		if s.confirm != nil {
+			f.setAway(false)
 			s.confirm(sent, answered)
 		}
 		if len(listing.Objects) > 0 {
@@ -188,6 +195,36 @@
 	}
 }
 
+// awaitStore waits while the plan's calls fail, so that one kind asks for all of them.
+func (f *Follower) awaitStore(ctx context.Context) {
+	for {
+		f.mu.RLock()
+		away := f.away
+		f.mu.RUnlock()
+		if away == nil {
+			return
+		}
+		select {
+		case <-away:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setAway tells the other kinds whether the store is lost.
+func (f *Follower) setAway(lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if lost && f.away == nil {
+		f.away = make(chan struct{})
+	}
+	if !lost && f.away != nil {
+		close(f.away)
+		f.away = nil
+	}
+}
+
 // interrupt ends the watches of the other kinds, whose connections may be silent as well.
 func (f *Follower) interrupt() {
 	f.mu.Lock()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -125,7 +126,7 @@
 		return nil
 	}
 	if trusted, age := f.cfg.Belief.Trusted(f.cfg.Clock()); !trusted {
-		return model.Refuse(model.KindStale, "keys were last confirmed %v ago: try another entry", age.Round(time.Millisecond)).WithRetry(time.Second)
+		return model.Refuse(model.KindStale, "keys were last confirmed %v ago: try another entry", age.Round(time.Millisecond)).WithRetry(retryStale(rand.Float64()))
 	}
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	holder, ok := c.plan.Keys[model.HashKey(strings.TrimSpace(key))]
@@ -139,6 +140,17 @@
 	return nil
 }
 
+// staleWait is the mean time after which callers return from an entry that lost the store. They
+// reach another entry then, which may have kept it; waiting for the end of the outage pays only
+// where all entries lost it.
+const staleWait = time.Second
+
+// retryStale is when a caller should come back after a refusal for stale knowledge; dice in
+// [0, 1) keep callers from returning together.
+func retryStale(dice float64) time.Duration {
+	return staleWait*3/4 + time.Duration(dice*float64(staleWait)/2)
+}
+
 // split picks one of the route's services by the request's id, so that a repetition agrees.
 func (f *Forwarder) split(c *call, r *http.Request) model.ServiceID {
 	shares := c.route.Split
