--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -14,7 +14,7 @@
 const (
 	// regionWait is the wait beyond which an engine of another region is asked: its way costs
 	// two round trips, its bytes cost as much as reading a prompt.
-	regionWait = 400 * time.Millisecond
+	regionWait = 120 * time.Millisecond
 	// domainWait is the same for another failure domain of the own region.
 	domainWait = 5 * time.Millisecond
 	// batchWait is added for a full batch: running requests slow the reading of a prompt.
@@ -96,7 +96,7 @@
 		}
 		best.Open++
 		mixed := in.Small && !small[e.Server.Backend] || in.Large && small[e.Server.Backend]
-		if !home && !mixed && e.Server.Place.Region == in.Self.Region {
+		if !home && !mixed && (in.Large || e.Server.Place.Region == in.Self.Region) {
 			// Others send prompts with the same parts there as well.
 			home, e.Kept = true, in.Memory != ""
 		}
