Quarantine requests that crash backend servers; test the data path

Cause: a request that crashes what runs it came again at any entry.

Change: a request on which three backend servers broke off, and could then not be reached, is refused by all entries; suspects are shared as marks from the second one on. Scripts of raw connections test what backend servers do (late, surplus, half, unsealed, early answers, resets, silence, events lost or twice), what callers send, smuggling, leaving callers and leaving entries.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -24,6 +24,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/quarantiner"
 	"github.com/bramleyhinge/bramleyhinge/internal/shifter"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 	"github.com/bramleyhinge/bramleyhinge/platform"
 )
@@ -85,10 +86,12 @@
 		Self: s.Instance, Belief: belief, Store: store, Marks: marksKind,
 		OrderKey: platform.OrderKey, EncodeStatus: platform.EncodeStatus, Session: s.Session, Log: log,
 	})
+	poison := quarantiner.New(quarantiner.Config{Store: store, Marks: marksKind, Log: log})
+	belief.OnMark(func(o storer.Object) { poison.Learn(o, time.Now()) })
 	f := forwarder.New(forwarder.Config{
 		Settings: s, Names: platform.Names(), Belief: belief,
 		Versions: versions,
-		Poison:   quarantiner.New(),
+		Poison:   poison,
 		Ladder:   chooser.LadderConfig{Floors: d.floors},
 		Clock:    follower.BootClock, Meter: m, Log: log,
 	})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -80,7 +80,7 @@
 
 // Poison knows the requests that crash the backend servers that run them.
 type Poison interface {
-	Banned(fingerprint uint64) bool
+	Banned(fingerprint uint64, now time.Time) bool
 	Crashed(fingerprint uint64, b model.BackendID, now time.Time)
 }
 
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,291 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+)
+
+func load[T any](t *testing.T, file string) []T {
+	t.Helper()
+	b, err := os.ReadFile("testdata/" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []T
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	return cases
+}
+
+var eventData = regexp.MustCompile(`data: (\d+)`)
+
+// TestAnswers checks what callers get for what backend servers do.
+func TestAnswers(t *testing.T) {
+	type Result struct {
+		Status   int
+		Sealed   bool
+		Retry    bool
+		Broken   bool
+		Body     string
+		Arrivals int
+	}
+	type answerCase struct {
+		Name    string
+		Route   string
+		Large   bool
+		Replies []string
+		Result  `yaml:",inline"`
+	}
+	for _, c := range load[answerCase](t, "answers.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			b := &backends{t: t, replies: c.Replies}
+			e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(4)})
+			size := 10
+			if c.Large {
+				size = 2000
+			}
+			r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+"/"+c.Route+"/a", strings.NewReader(strings.Repeat("x", size)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Host = "a.example"
+			r.Header.Set("Id", "request-1")
+			r.Header.Set("Authorization", "Key good")
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			got := Result{
+				Status: resp.StatusCode, Sealed: resp.Header.Get("Seal") != "", Retry: resp.Header.Get("Retry-After") != "",
+				Broken: err != nil, Arrivals: len(b.seen()),
+			}
+			if c.Broken {
+				got.Status, got.Sealed = 0, false
+			}
+			switch {
+			case strings.Contains(string(body), "data: "):
+				var events []string
+				for _, m := range eventData.FindAllStringSubmatch(string(body), -1) {
+					events = append(events, m[1])
+				}
+				got.Body = strings.Join(events, " ")
+			case got.Sealed:
+				got.Body = string(body)
+			}
+			if diff := cmp.Diff(c.Result, got); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRequests checks what is refused and what reaches the backend server.
+func TestRequests(t *testing.T) {
+	type requestCase struct {
+		Name     string
+		Host     string
+		Path     string
+		Method   string
+		Key      string
+		Body     int
+		Stale    bool
+		Planless bool
+		Headers  map[string]string
+		Status   int
+		Seen     map[string]string
+	}
+	for _, c := range load[requestCase](t, "requests.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			b := &backends{t: t, replies: []string{"ok"}}
+			belief := &fakeBelief{plan: testPlan(), servers: b.start(1), stale: c.Stale}
+			if c.Planless {
+				belief.plan = nil
+			}
+			e := startEntry(t, belief)
+			method := c.Method
+			if method == "" {
+				method = http.MethodGet
+			}
+			r, err := http.NewRequest(method, "http://"+e.callers+c.Path, strings.NewReader(strings.Repeat("x", c.Body)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Host = "a.example"
+			if c.Host != "" {
+				r.Host = c.Host
+			}
+			for name, v := range c.Headers {
+				r.Header.Set(name, v)
+			}
+			r.Header.Set("Id", "request-1")
+			if c.Key != "" {
+				r.Header.Set("Authorization", "Key "+c.Key)
+			}
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if diff := cmp.Diff(c.Status, resp.StatusCode); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			arrivals := b.seen()
+			if c.Status != http.StatusOK && len(arrivals) > 0 {
+				t.Errorf("a refused request reached a backend server")
+			}
+			for name, want := range c.Seen {
+				got := arrivals[0].Header.Get(name)
+				if name == "Path" {
+					got = arrivals[0].RequestURI
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%s at the backend server (-want +got):\n%s", name, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestSurplusBytes checks that bytes which no request asked for end a connection.
+func TestSurplusBytes(t *testing.T) {
+	b := &backends{t: t, replies: []string{"surplus", "ok"}}
+	e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(1)})
+	for i := range 3 {
+		r, _ := http.NewRequest(http.MethodGet, "http://"+e.callers+"/never/a", nil)
+		r.Host = "a.example"
+		r.Header.Set("Id", fmt.Sprint("request-", i))
+		r.Header.Set("Authorization", "Key good")
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("answer", string(body)); diff != "" {
+			t.Errorf("answer %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// TestCallerLeaves checks that the work at the backend server ends soon after its caller left.
+func TestCallerLeaves(t *testing.T) {
+	for _, reply := range []string{"silent", "endless 1 2"} {
+		t.Run(reply, func(t *testing.T) {
+			b := &backends{t: t, replies: []string{reply}}
+			plan := testPlan()
+			for i := range plan.Routes {
+				plan.Routes[i].Timeout, plan.Routes[i].Target = 10*time.Second, 10*time.Second
+			}
+			e := startEntry(t, &fakeBelief{plan: plan, servers: b.start(1)})
+			ctx, leave := context.WithCancel(t.Context())
+			r, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.callers+"/stream/a", nil)
+			r.Host = "a.example"
+			r.Header.Set("Id", "request-1")
+			r.Header.Set("Authorization", "Key good")
+			go func() {
+				for len(b.seen()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(20 * time.Millisecond)
+				leave()
+			}()
+			if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if !errors.Is(err, context.Canceled) {
+					t.Errorf("read %v, want a cancelled request", err)
+				}
+			}
+			select {
+			case <-b.gone:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the backend server still works half a second after the caller left")
+			}
+		})
+	}
+}
+
+// TestSmuggling checks that a request inside another one never reaches a backend server.
+func TestSmuggling(t *testing.T) {
+	const inner = "GET /never/inner HTTP/1.1\r\nHost: a.example\r\nId: inner\r\nAuthorization: Key good\r\n\r\n"
+	for name, head := range map[string]string{
+		"both framings":        fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 5+len(inner)),
+		"two lengths":          "Content-Length: 0\r\nContent-Length: 10\r\n\r\n",
+		"odd coding":           "Transfer-Encoding: xchunked\r\n\r\n",
+		"a space before colon": "Content-Length : 10\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &backends{t: t, replies: []string{"ok"}}
+			e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(1)})
+			c, err := net.Dial("tcp", e.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			// A space in the header's name makes the whole request malformed.
+			fmt.Fprint(c, "POST /never/a HTTP/1.1\r\nHost: a.example\r\nId: outer\r\nAuthorization: Key good\r\n"+head)
+			if name != "both framings" {
+				fmt.Fprint(c, inner)
+			}
+			if err := c.SetReadDeadline(time.Now().Add(300 * time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.Copy(io.Discard, bufio.NewReader(c)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Log(err)
+			}
+			for _, r := range b.seen() {
+				if r.Header.Get("Id") == "inner" {
+					t.Errorf("the inner request reached a backend server")
+				}
+			}
+		})
+	}
+}
+
+// TestLeaving checks that an entry that was asked to stop is unready at once, still takes what
+// comes, and finishes what runs.
+func TestLeaving(t *testing.T) {
+	b := &backends{t: t, replies: []string{"ok"}}
+	e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(1)})
+	get := func(url string) int {
+		r, _ := http.NewRequest(http.MethodGet, url, nil)
+		r.Host = "a.example"
+		r.Header.Set("Id", "request-1")
+		r.Header.Set("Authorization", "Key good")
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if diff := cmp.Diff([]int{200, 200}, []int{get("http://" + e.ready + "/ready"), get("http://" + e.callers + "/safe/a")}); diff != "" {
+		t.Fatalf("before the signal (-want +got):\n%s", diff)
+	}
+	e.stop()
+	time.Sleep(50 * time.Millisecond)
+	if diff := cmp.Diff([]int{503, 200}, []int{get("http://" + e.ready + "/ready"), get("http://" + e.callers + "/safe/a")}); diff != "" {
+		t.Errorf("after the signal (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/harness_test.go
@@ -0,0 +1,277 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+var testNames = Names{
+	Request: "Id", TimeLeft: "Time-Left", Prefix: "Prefix", Session: "Session", LastEvent: "Last-Event", Seal: "Seal", Holder: "Holder",
+	Expect: "Meant", Load: "Load", NotRun: "Not-Run", Model: "Model", Usage: "Usage", Length: "Length", Rank: "Rank",
+	Confidence: "Confidence", Scheme: "Key", ReadyPath: "/ready", MetricsPath: "/metrics",
+	Own: []string{"Holder", "Meant", "Rank", "Kv-From"},
+}
+
+// fakeBelief is a fixed belief.
+type fakeBelief struct {
+	plan    *model.Plan
+	stale   bool
+	servers []model.BackendServer
+}
+
+func (b *fakeBelief) Plan() *model.Plan                                        { return b.plan }
+func (b *fakeBelief) Settled() bool                                            { return b.plan != nil }
+func (b *fakeBelief) Trusted(time.Duration) (bool, time.Duration)              { return !b.stale, 0 }
+func (b *fakeBelief) Servers(model.ServiceID, time.Time) []model.BackendServer { return b.servers }
+
+type allVersions struct{}
+
+func (allVersions) Allows(model.VersionID) bool { return true }
+func (allVersions) Choose(model.ServiceID, string, time.Time) VersionChoice {
+	return allVersions{}
+}
+func (allVersions) Observe(Outcome, time.Time) {}
+
+// fakePoison bans nothing and counts crashes.
+type fakePoison struct{}
+
+func (fakePoison) Banned(uint64, time.Time) bool              { return false }
+func (fakePoison) Crashed(uint64, model.BackendID, time.Time) {}
+
+// backends is a group of backend servers that follow one script: the n-th arrival gets the
+// n-th reply.
+type backends struct {
+	t       *testing.T
+	replies []string
+
+	mu       sync.Mutex
+	arrivals []*http.Request
+	gone     chan struct{}
+}
+
+func (b *backends) next(r *http.Request) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, r)
+	return b.replies[min(len(b.arrivals), len(b.replies))-1]
+}
+
+func (b *backends) seen() []*http.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*http.Request(nil), b.arrivals...)
+}
+
+// start opens n backend servers and returns them.
+func (b *backends) start(n int) []model.BackendServer {
+	b.gone = make(chan struct{}, 64)
+	var out []model.BackendServer
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		b.t.Cleanup(func() { l.Close() })
+		go b.accept(l)
+		out = append(out, model.BackendServer{
+			Backend: model.BackendID(fmt.Sprint("b", i)), Service: "svc", Address: l.Addr().String(), Slots: 8, State: model.BackendReady,
+		})
+	}
+	return out
+}
+
+func (b *backends) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go b.serve(c)
+	}
+}
+
+func (b *backends) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		reply := b.next(req)
+		if reply == "early" {
+			fmt.Fprint(c, answer(req, "Connection: close\r\n", "answer"))
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if !b.reply(c, r, req, reply) {
+			return
+		}
+	}
+}
+
+func answer(r *http.Request, extra, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\n%sContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), extra, len(body), body)
+}
+
+// reply answers one request and reports whether the connection goes on.
+func (b *backends) reply(c net.Conn, r *bufio.Reader, req *http.Request, reply string) bool {
+	id := req.Header.Get("Id")
+	word, rest, _ := strings.Cut(reply, " ")
+	switch word {
+	case "ok":
+		fmt.Fprint(c, answer(req, "", "answer"))
+		return true
+	case "foreign":
+		fmt.Fprint(c, strings.Replace(answer(req, "", "other"), "Id: "+id, "Id: other", 1), answer(req, "", "answer"))
+		return true
+	case "surplus":
+		fmt.Fprint(c, answer(req, "", "answer"), "HTTP/1.1 200 OK\r\n\r\nmore")
+		return true
+	case "unsealed":
+		fmt.Fprint(c, strings.Replace(answer(req, "", "answer"), "Seal: s\r\n", "", 1))
+		return true
+	case "encoded":
+		fmt.Fprint(c, answer(req, "Content-Encoding: gzip\r\n", "answer"))
+		return true
+	case "reset":
+		reset(c)
+	case "half":
+		fmt.Fprint(c, strings.TrimSuffix(answer(req, "", "answer"), "wer"))
+	case "notrun":
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	case "misdirected":
+		fmt.Fprint(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case "failed":
+		fmt.Fprint(c, strings.Replace(answer(req, "", "sorry"), "200 OK", "500 Error", 1))
+		return true
+	case "busy":
+		fmt.Fprint(c, strings.Replace(answer(req, "", "sorry"), "200 OK", "503 Busy", 1))
+		return true
+	case "nolength", "nolengthreset":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nConnection: close\r\n\r\nanswer", id)
+		if word == "nolengthreset" {
+			time.Sleep(50 * time.Millisecond)
+			reset(c)
+		}
+	case "silent":
+		_, _ = r.ReadByte()
+		b.gone <- struct{}{}
+	case "garbage":
+		fmt.Fprint(c, "no answer at all\r\n\r\n")
+	case "events", "cut", "halfevent", "endless":
+		return b.stream(c, r, id, word, rest)
+	default:
+		b.t.Errorf("unknown reply %q", reply)
+	}
+	return false
+}
+
+// stream sends events as chunks, with an end only if they are whole.
+func (b *backends) stream(c net.Conn, r *bufio.Reader, id, word, span string) bool {
+	var from, to int
+	if _, err := fmt.Sscan(span, &from, &to); err != nil {
+		b.t.Errorf("bad events %q", span)
+	}
+	chunk := func(s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	for n := from; n <= to; n++ {
+		chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", n, n))
+	}
+	switch word {
+	case "events":
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	case "halfevent":
+		chunk(fmt.Sprintf("id: %d\nda", to+1))
+	case "endless":
+		_, _ = r.ReadByte()
+		b.gone <- struct{}{}
+	}
+	time.Sleep(20 * time.Millisecond)
+	return false
+}
+
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	c.Close()
+}
+
+func testPlan() *model.Plan {
+	split := []model.PlanShare{{Service: "svc", Weight: 1}}
+	route := func(name string, repeat model.Repeat, stream bool) model.PlanRoute {
+		return model.PlanRoute{
+			Route: model.RouteID(name), Host: "a.example", Prefix: "/" + name + "/", Repeat: repeat, Stream: stream,
+			Timeout: 700 * time.Millisecond, Target: 300 * time.Millisecond, Split: split, Attempts: 3, Public: name == "public",
+		}
+	}
+	return &model.Plan{
+		Version: 1,
+		Routes: []model.PlanRoute{
+			route("safe", model.RepeatSafe, false), route("never", model.RepeatNever, false), route("public", model.RepeatSafe, false),
+			route("stream", model.RepeatResume, true), route("once", model.RepeatNever, true),
+		},
+		Services: map[model.ServiceID]model.PlanService{"svc": {Service: "svc"}},
+		Keys:     map[model.KeyHash]model.PlanHolder{model.HashKey("good"): {Organisation: "mill", Rank: -1}},
+		Limits:   model.PlanLimits{Header: 8 << 10, Body: 2048, HeaderTimeout: time.Second, IdleTimeout: time.Second},
+	}
+}
+
+// entry is a forwarder that runs.
+type entry struct {
+	*Forwarder
+	callers, ready string
+	stop           context.CancelFunc
+	done           chan error
+}
+
+func startEntry(t *testing.T, belief *fakeBelief) *entry {
+	t.Helper()
+	f := New(Config{
+		Settings: model.DirectSettings{
+			Memory: 64 << 20, Grace: 2 * time.Second, Repeats: model.RepeatSettings{Ratio: 10, Window: 10 * time.Second},
+		},
+		Names: testNames, Belief: belief, Versions: allVersions{}, Poison: fakePoison{},
+		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
+	})
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	l := Listeners{Callers: listen(), Ready: listen()}
+	ctx, cancel := context.WithCancel(t.Context())
+	e := &entry{Forwarder: f, callers: l.Callers.Addr().String(), ready: l.Ready.Addr().String(), stop: cancel, done: make(chan error, 1)}
+	go func() { e.done <- f.Run(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-e.done:
+		case <-time.After(5 * time.Second):
+			t.Error("the entry did not end within its grace")
+		}
+	})
+	return e
+}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -155,14 +155,20 @@
 	p.used = now
 }
 
-// started counts that a request's prompt was read, and that its shared parts are kept.
-func (p *peer) started(read time.Duration, memory string, now time.Time) {
+// started counts that a request's prompt no longer waits.
+func (p *peer) started(read time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.backlog = max(0, p.backlog-read)
+}
+
+// keep counts that shared parts of a prompt were read.
+func (p *peer) keep(memory string, now time.Time) {
 	if memory == "" {
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.kept == nil {
 		p.kept = map[string]time.Time{}
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -38,7 +38,7 @@
 		f.refuse(w, c, refusal)
 		return
 	}
-	if f.cfg.Poison.Banned(c.print) {
+	if f.cfg.Poison.Banned(c.print, now) {
 		f.refuse(w, c, model.Refuse(model.KindQuarantined, "the request crashed the backend servers that ran it: change it"))
 		return
 	}
@@ -62,8 +62,8 @@
 		p.begin(c.read, now)
 		c.began = now
 		rep, fail := f.exchange(ctx, c, p, f.patience(c))
-		p.started(c.read, c.memory(c.model), time.Now())
-		if fail == nil {
+		if p.started(c.read); fail == nil {
+			p.keep(c.memory(c.model), time.Now())
 			fail = f.deliver(ctx, c, rep, out)
 		}
 		p.end(time.Now())
@@ -112,7 +112,7 @@
 			f.cfg.Versions.Observe(f.outcome(c, p, true, now), now)
 		}
 		if fail.fate == fateBroken && !c.passed {
-			f.cfg.Poison.Crashed(c.print, p.server.Backend, now)
+			go f.confirmCrash(c.print, p)
 		}
 		f.cfg.Meter.Count("attempts_failed/"+string(fail.fate), 1)
 		f.cfg.Log.Warn().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fate", string(fail.fate)).AnErr("cause", fail.cause).
@@ -132,7 +132,23 @@
 	if c.sent >= c.route.Attempts || c.ran && !repeatable(c) {
 		return refusal, false
 	}
-	return refusal, !f.cfg.Poison.Banned(c.print)
+	return refusal, !f.cfg.Poison.Banned(c.print, now)
+}
+
+// confirmCrash asks whether a backend server that broke off is gone: a lost answer or a reset
+// connection is no crash.
+func (f *Forwarder) confirmCrash(fingerprint uint64, p *peer) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	cn, err := dial(ctx, p.server.Address)
+	now := time.Now()
+	if err != nil {
+		p.failed(true, now)
+		f.cfg.Poison.Crashed(fingerprint, p.server.Backend, now)
+		return
+	}
+	cn.since, cn.until = now, now.Add(defaultKeep)
+	p.put(cn)
 }
 
 // failureRefusal says truly whether the request may have run.
