Send the rest of a roll-out's requests to the version that served before

Change: a roll-out remembers the version that served before it: the one of the order before if it took all, else the one with the oldest backend server.

--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -39,21 +39,26 @@
 	return time.Duration((end - stages[n].at) * float64(within))
 }
 
-// Choice tells which versions may get a request: only the named one, or all but it. An empty
-// version allows all.
+// Choice tells which versions may get a request: only the named one if there is one, and
+// never the excepted one.
 type Choice struct {
-	Version model.VersionID
-	Only    bool
+	Only   model.VersionID
+	Except model.VersionID
 }
 
 // Allows reports whether a version may get the request.
 func (c Choice) Allows(v model.VersionID) bool {
-	return c.Version == "" || (v == c.Version) == c.Only
+	if c.Only != "" {
+		return v == c.Only
+	}
+	return c.Except == "" || v != c.Except
 }
 
 // chooseInput is what the choice of a version reads.
 type chooseInput struct {
 	order model.RolloutOrder
+	// base is the version that served before the order; empty if it is not known.
+	base  model.VersionID
 	stage int
 	bad   bool
 	// session names the caller's session; last is whether it was sent to the new version
@@ -67,16 +72,54 @@
 // sessions whose requests come through several entries while a version is brought in.
 func choose(in chooseInput) Choice {
 	done := in.order.Reported == in.order.Version
+	before, after := Choice{Only: in.base, Except: in.order.Version}, Choice{Only: in.order.Version}
+	fresh := in.last
 	switch {
 	case in.bad || done && in.order.State == model.RolloutReverted:
-		return Choice{Version: in.order.Version}
+		return before
 	case done && in.order.State == model.RolloutCompleted, stages[in.stage].share >= 1:
-		return Choice{Version: in.order.Version, Only: true}
-	case in.known:
-		return Choice{Version: in.order.Version, Only: in.last}
+		return after
+	case !in.known:
+		at := float64(xxhash.Sum64String(in.session+"\x00"+string(in.order.Version))>>11) / (1 << 53)
+		fresh = at < stages[in.stage].share
+	}
+	if fresh {
+		return after
+	}
+	return before
+}
+
+// baseInput is what the version that served before an order follows from.
+type baseInput struct {
+	order   model.RolloutOrder
+	servers []model.BackendServer
+	// last is the version of the order before and its stage, if the store still tells.
+	last  model.VersionID
+	stage int
+}
+
+// baseOf returns the version that served before an order: the one of the order before if it
+// took all, and the one with the oldest backend server otherwise. It answers orders that come
+// before the one before them is done, with three versions alive.
+func baseOf(in baseInput) model.VersionID {
+	oldest := map[model.VersionID]int64{}
+	for _, s := range in.servers {
+		if born, ok := oldest[s.Version]; s.Version != in.order.Version && (!ok || s.Born < born) {
+			oldest[s.Version] = s.Born
+		}
+	}
+	reverted := in.order.State == model.RolloutReverted && in.order.Reported == in.last
+	completed := in.order.State == model.RolloutCompleted && in.order.Reported == in.last
+	if _, alive := oldest[in.last]; alive && !reverted && (completed || stages[min(in.stage, len(stages)-1)].share >= 1) {
+		return in.last
+	}
+	best := model.VersionID("")
+	for v, born := range oldest {
+		if best == "" || born < oldest[best] || born == oldest[best] && v < best {
+			best = v
+		}
 	}
-	at := float64(xxhash.Sum64String(in.session+"\x00"+string(in.order.Version))>>11) / (1 << 53)
-	return Choice{Version: in.order.Version, Only: at < stages[in.stage].share}
+	return best
 }
 
 // spread is the part of an order's time over which entries spread their writes.
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -32,6 +32,7 @@
 	Order(s model.ServiceID) (model.RolloutOrder, bool)
 	Orders() []model.RolloutOrder
 	Mark(key string) (storer.Object, bool)
+	Servers(s model.ServiceID, now time.Time) []model.BackendServer
 }
 
 // Store is the part of the store that a Shifter writes to.
@@ -66,6 +67,8 @@
 // roll is one roll-out as this entry sees it.
 type roll struct {
 	order model.RolloutOrder
+	// base is the version that served before.
+	base  model.VersionID
 	stage int
 	// since is when the stage was first seen.
 	since    time.Time
@@ -112,6 +115,9 @@
 	if r == nil || !same(r.order, o) {
 		r = &roll{since: now, judge: newJudge(), sessions: map[string]seen{}}
 		s.rolls[service] = r
+		m, _, _ := s.mark(o)
+		r.base = baseOf(baseInput{order: o, servers: s.cfg.Belief.Servers(service, now), last: m.Version, stage: m.Stage})
+		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Str("base", string(r.base)).Msg("shifter: roll-out begins")
 	}
 	r.order = o
 	if m, _, ok := s.mark(o); ok && m.Stage > r.stage && m.Stage < len(stages) {
@@ -148,13 +154,13 @@
 	if r == nil {
 		return Choice{}
 	}
-	in := chooseInput{order: r.order, stage: r.stage, bad: r.bad, session: session}
+	in := chooseInput{order: r.order, base: r.base, stage: r.stage, bad: r.bad, session: session}
 	if last, ok := r.sessions[session]; ok && now.Sub(last.at) < s.cfg.Session {
 		in.last, in.known = last.fresh, true
 	}
 	c := choose(in)
 	if session != "" && len(r.sessions) < maxSessions {
-		r.sessions[session] = seen{fresh: c.Only, at: now}
+		r.sessions[session] = seen{fresh: c.Only == r.order.Version, at: now}
 	}
 	return c
 }
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -45,6 +45,7 @@
 		Stage    int
 		State    model.RolloutStatus
 		Reported model.VersionID
+		Base     model.VersionID
 		Bad      bool
 		Session  string
 		Known    bool
@@ -54,12 +55,15 @@
 	for _, c := range load[choiceCase](t, "choices.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			choice := choose(chooseInput{
-				order: testOrder(c.State, c.Reported), stage: c.Stage, bad: c.Bad, session: c.Session, known: c.Known, last: c.Last,
+				order: testOrder(c.State, c.Reported), base: c.Base, stage: c.Stage, bad: c.Bad, session: c.Session, known: c.Known, last: c.Last,
 			})
 			if c.Order != nil {
 				choice = Choice{}
 			}
-			got := map[model.VersionID]bool{"v1": choice.Allows("v1"), "v2": choice.Allows("v2")}
+			got := map[model.VersionID]bool{}
+			for v := range c.Want {
+				got[v] = choice.Allows(v)
+			}
 			if diff := cmp.Diff(c.Want, got); diff != "" {
 				t.Errorf("allowed versions (-want +got):\n%s", diff)
 			}
@@ -67,6 +71,30 @@
 	}
 }
 
+// TestBase answers orders that replace each other while several versions are alive.
+func TestBase(t *testing.T) {
+	type baseCase struct {
+		Name     string
+		Servers  map[model.VersionID]int64
+		State    model.RolloutStatus
+		Reported model.VersionID
+		Last     model.VersionID
+		Stage    int
+		Want     model.VersionID
+	}
+	for _, c := range load[baseCase](t, "bases.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			in := baseInput{order: model.RolloutOrder{Version: "v3", State: c.State, Reported: c.Reported}, last: c.Last, stage: c.Stage}
+			for v, born := range c.Servers {
+				in.servers = append(in.servers, model.BackendServer{Version: v, Born: born}, model.BackendServer{Version: v, Born: born + 9})
+			}
+			if diff := cmp.Diff(c.Want, baseOf(in)); diff != "" {
+				t.Errorf("base (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestSharesAgree checks that entries which know nothing of a session send it to the same
 // version, that no session goes back as the share rises, and that the shares are kept.
 func TestSharesAgree(t *testing.T) {
@@ -77,11 +105,11 @@
 		for i := range sessions {
 			id := fmt.Sprintf("session-%d", i)
 			c := choose(chooseInput{order: testOrder(model.RolloutRunning, ""), stage: n, session: id})
-			if before[id] && !c.Only {
+			if before[id] && c.Only != "v2" {
 				t.Fatalf("session %s went back at stage %d", id, n)
 			}
-			before[id] = c.Only
-			if c.Only {
+			before[id] = c.Only == "v2"
+			if before[id] {
 				moved++
 			}
 		}
