--- /dev/null
+++ b/internal/chooser/ladder_test.go
@@ -0,0 +1,55 @@
+package chooser
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// TestStep reads steps to a larger model from a table.
+func TestStep(t *testing.T) {
+	type stepCase struct {
+		Name       string
+		Ran        model.ModelID
+		Confidence int
+		Rank       int
+		Attempts   *int
+		Spent      bool
+		Fill       float64
+		Late       bool
+		Whole      time.Duration
+		Want       model.ModelID
+	}
+	b, err := os.ReadFile("testdata/steps.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []stepCase
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	l := NewLadder(LadderConfig{Floors: []int{65, 55, 45}})
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			in := StepInput{
+				Models: []model.ModelID{"small", "middle", "large"}, Ran: "small", Confidence: c.Confidence, Rank: c.Rank,
+				Attempts: 2, Repeat: !c.Spent, Fill: c.Fill, Late: c.Late, Whole: c.Whole, Left: 5 * time.Second,
+			}
+			if c.Ran != "" {
+				in.Ran = c.Ran
+			}
+			if c.Attempts != nil {
+				in.Attempts = *c.Attempts
+			}
+			got, why := l.Step(in)
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("next model (%s, -want +got):\n%s", why, diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,194 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/standin"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+var errRubbish = errors.New("rubbish")
+
+// testDecoder reads plans that are their version's digits and servers that are their state.
+var testDecoder = Decoder{
+	IsPlan: func(key string) bool { return key == "plans/main" },
+	Plan: func(value []byte) (*model.Plan, error) {
+		if strings.Contains(string(value), "rubbish") {
+			return nil, errRubbish
+		}
+		return &model.Plan{Version: int64(len(value))}, nil
+	},
+	Server: func(o storer.Object) (model.BackendServer, error) {
+		if string(o.Value) == "rubbish" {
+			return model.BackendServer{}, errRubbish
+		}
+		id := strings.TrimPrefix(o.Key, "servers/")
+		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(o.Value)}, nil
+	},
+	Order: func(o storer.Object) (model.RolloutOrder, error) {
+		return model.RolloutOrder{Service: model.ServiceID(strings.TrimPrefix(o.Key, "orders/")), Version: model.VersionID(o.Value), Revision: o.Revision}, nil
+	},
+}
+
+func newTestFollower(store storer.Store, clock func() time.Duration) *Follower {
+	return New(Config{
+		Store: store, Kinds: Kinds{Plan: "plans", Servers: "servers", Orders: "orders", Marks: "marks"}, Decode: testDecoder,
+		Trust: 5 * time.Second, Clock: clock, Meter: meter.New(), Log: zerolog.Nop(),
+	})
+}
+
+// TestServers replays answers of the store on backend servers.
+func TestServers(t *testing.T) {
+	type step struct {
+		Full     bool
+		Old      bool
+		Regained bool
+		After    time.Duration
+		Put      map[string]string
+		Remove   []string
+		Want     map[model.BackendID]model.BackendState
+	}
+	b, err := os.ReadFile("testdata/servers.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name  string
+		Steps []step
+	}
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			f := newTestFollower(nil, nil)
+			now, revision := time.Unix(1000, 0), model.Revision(10)
+			for i, s := range c.Steps {
+				now = now.Add(s.After)
+				in := batch{full: s.Full, regained: s.Regained}
+				for id, state := range s.Put {
+					revision++
+					o := storer.Object{Key: "servers/" + id, Revision: revision, Value: []byte(state)}
+					if s.Old {
+						o.Revision = 1
+					}
+					in.objects = append(in.objects, o)
+				}
+				for _, id := range s.Remove {
+					revision++
+					in.objects = append(in.objects, storer.Object{Key: "servers/" + id, Revision: revision, Deleted: true})
+				}
+				if s.Full || s.Put != nil || s.Remove != nil {
+					f.applyServers(in, now)
+				}
+				got := map[model.BackendID]model.BackendState{}
+				for _, server := range f.Servers("svc", now) {
+					got[server.Backend] = server.State
+				}
+				if diff := cmp.Diff(s.Want, got); diff != "" {
+					t.Errorf("servers after step %d (-want +got):\n%s", i, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestPlanNeverGoesBack checks that an older plan, a stale one or one that cannot be read
+// leaves the last one in force.
+func TestPlanNeverGoesBack(t *testing.T) {
+	f := newTestFollower(nil, nil)
+	var got []int64
+	for _, o := range []storer.Object{
+		{Key: "plans/main", Revision: 5, Value: []byte("12345")},
+		{Key: "plans/main", Revision: 4, Value: []byte("1234")},
+		{Key: "plans/main", Revision: 6, Value: []byte("rubbish")},
+		{Key: "plans/other", Revision: 7, Value: []byte("1")},
+		{Key: "plans/main", Revision: 8, Value: []byte("12345678")},
+	} {
+		f.applyPlan(batch{objects: []storer.Object{o}}, time.Unix(1000, 0))
+		got = append(got, f.Plan().Version)
+	}
+	if diff := cmp.Diff([]int64{5, 5, 5, 5, 8}, got); diff != "" {
+		t.Errorf("versions in force (-want +got):\n%s", diff)
+	}
+}
+
+// TestTrustEndsInAnOutage checks that keys are no longer believed once the store was away for
+// the trust, by a clock that also counts suspension, and are again soon after its return.
+func TestTrustEndsInAnOutage(t *testing.T) {
+	platform := standin.NewPlatform()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if _, err := platform.Put(ctx, "plans/main", []byte("1"), 0); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	f := newTestFollower(platform, func() time.Duration { return time.Since(start) })
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	trusted := func() bool { ok, _ := f.Trusted(time.Since(start)); return ok }
+	await(t, "trust at the start", 2*time.Second, func() bool { return trusted() && f.Settled() })
+	if ok, _ := f.Trusted(time.Since(start) + 5*time.Second); ok {
+		t.Error("trusted after a suspension of five seconds")
+	}
+	platform.SetFaults(standin.PlatformFaults{Down: true})
+	await(t, "the end of trust", 6*time.Second, func() bool { return !trusted() })
+	platform.SetFaults(standin.PlatformFaults{})
+	await(t, "trust after the outage", time.Second, trusted)
+	cancel()
+	<-done
+}
+
+// TestHistoryGone checks that changes whose events the store lost are found by listing again.
+func TestHistoryGone(t *testing.T) {
+	platform := standin.NewPlatform()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	start := time.Now()
+	f := newTestFollower(&compacting{Store: platform}, func() time.Duration { return time.Since(start) })
+	rev, err := platform.Put(ctx, "plans/main", []byte("1"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	await(t, "the first plan", 2*time.Second, func() bool { return f.Plan() != nil })
+	platform.SetFaults(standin.PlatformFaults{Gap: true})
+	if _, err := platform.Put(ctx, "plans/main", []byte("22"), rev); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the plan whose event was lost", 4*time.Second, func() bool { return f.Plan().Version == 2 })
+	cancel()
+	<-done
+}
+
+// compacting is a store whose watches end because their history is gone.
+type compacting struct{ storer.Store }
+
+func (c *compacting) Watch(ctx context.Context, kind string, _ model.Revision, _ time.Duration) (storer.Listing, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(100 * time.Millisecond):
+	}
+	return storer.Listing{}, &storer.Error{Kind: storer.KindCompacted, Key: kind}
+}
+
+func await(t *testing.T, what string, within time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come within %v", what, within)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limiter/repeats_test.go
@@ -0,0 +1,54 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// slack is what the users' sites allow beyond the ratio; the smallest of them has 52.
+const slack = 52
+
+// TestRepeatsKeepTheRatio draws arrivals and repeats over several entries and checks the users'
+// rule: in every window, all repeats together stay within the ratio of the requests of that
+// window, of the one before it or of the one half a window before it, and the slack.
+func TestRepeatsKeepTheRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window, step = 10 * time.Second, 100 * time.Millisecond
+		ratio := rapid.Float64Range(0.05, 1).Draw(t, "ratio")
+		entries := make([]*Repeats, rapid.IntRange(1, 5).Draw(t, "entries"))
+		for i := range entries {
+			entries[i] = NewRepeats(ratio, window)
+		}
+		start := time.Unix(1000, 0)
+		const steps = 300
+		var firsts, repeats [steps]int
+		for i := range steps {
+			now := start.Add(time.Duration(i) * step)
+			e := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "entry")]
+			for range rapid.IntRange(0, 3).Draw(t, "firsts") {
+				e.First("svc", now)
+				firsts[i]++
+			}
+			for range rapid.IntRange(0, 6).Draw(t, "wanted") {
+				if e.Take("svc", now) {
+					repeats[i]++
+				}
+			}
+		}
+		const n = int(window / step)
+		sum := func(v []int) (s int) {
+			for _, x := range v {
+				s += x
+			}
+			return s
+		}
+		for i := 0; i+n <= steps; i++ {
+			earned := max(sum(firsts[i:i+n]), sum(firsts[max(i-n/2, 0):i+n/2]), sum(firsts[max(i-n, 0):i]))
+			if got := sum(repeats[i : i+n]); float64(got) > ratio*float64(earned)+slack {
+				t.Fatalf("%d repeats in the window from %d, want at most %.2f of %d requests and %d", got, i, ratio, earned, slack)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/picker/engine_test.go
@@ -0,0 +1,147 @@
+package picker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// TestEarliest reads choices of engines from a table.
+func TestEarliest(t *testing.T) {
+	type engine struct {
+		Backlog  time.Duration
+		Busy     int
+		Kept     bool
+		Draining bool
+		Cold     bool
+	}
+	type engineCase struct {
+		Name     string
+		Engines  map[model.BackendID]engine
+		Memory   string
+		Excluded model.BackendID
+		Want     model.BackendID
+		Wants    []model.BackendID
+	}
+	b, err := os.ReadFile("testdata/engines.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []engineCase
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			in := EngineInput{
+				Self: model.Place{Region: "near", Domain: "near-a"}, Memory: c.Memory, Read: 100 * time.Millisecond, Shared: 60 * time.Millisecond,
+				Excluded: map[model.BackendID]bool{c.Excluded: true},
+			}
+			for id, e := range c.Engines {
+				s := model.BackendServer{Backend: id, Slots: 48, State: model.BackendReady, Place: model.Place{Region: "near", Domain: "near-a"}}
+				if id == "x" {
+					s.Place = model.Place{Region: "far", Domain: "far-a"}
+				}
+				if e.Draining {
+					s.State = model.BackendDraining
+				}
+				if e.Cold {
+					s.Cold = time.Second
+				}
+				in.Engines = append(in.Engines, Engine{Server: s, Backlog: e.Backlog, Busy: e.Busy, Kept: e.Kept})
+			}
+			got := Earliest{}.Decide(in).Server.Backend
+			if len(c.Wants) > 0 {
+				if !slices.Contains(c.Wants, got) {
+					t.Errorf("chose %q, want one of %v", got, c.Wants)
+				}
+				return
+			}
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("engine (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSmallModelsApart checks that the smallest model does not wait behind the largest one
+// while both have engines, and that every entry leaves the same engines to it.
+func TestSmallModelsApart(t *testing.T) {
+	var engines []Engine
+	for i := range 12 {
+		engines = append(engines, Engine{Server: model.BackendServer{
+			Backend: model.BackendID(fmt.Sprint("e", i)), Slots: 48, State: model.BackendReady, Place: model.Place{Region: "near"},
+		}})
+	}
+	used := map[bool]map[model.BackendID]bool{true: {}, false: {}}
+	for i := range 200 {
+		rand.Shuffle(len(engines), func(a, b int) { engines[a], engines[b] = engines[b], engines[a] })
+		small := i%2 == 0
+		c := Earliest{}.Decide(EngineInput{Engines: engines, Self: model.Place{Region: "near"}, Memory: fmt.Sprint("m", i), Small: small, Large: !small})
+		used[small][c.Server.Backend] = true
+	}
+	for id := range used[true] {
+		if used[false][id] {
+			t.Errorf("engine %s serves both sizes", id)
+		}
+	}
+	if diff := cmp.Diff(3, len(used[true])); diff != "" {
+		t.Errorf("engines of the smallest model (-want +got):\n%s", diff)
+	}
+}
+
+// TestLongPromptsHoldUpFew replays prompts of which one in twenty takes 3 s to read, at 85% of
+// what the engines can read. The wait of 95 in 100 must be within 1.15 times that of a choice
+// with perfect knowledge, and below that of a choice by the number of requests.
+func TestLongPromptsHoldUpFew(t *testing.T) {
+	const engines, prompts = 8, 4000
+	run := func(choose func(backlog []time.Duration, open []int) int) time.Duration {
+		r := rand.New(rand.NewPCG(7, 7))
+		free := make([]time.Duration, engines)
+		ends := make([][]time.Duration, engines)
+		var waits []time.Duration
+		now := time.Duration(0)
+		for range prompts {
+			read := 50 * time.Millisecond
+			if r.IntN(20) == 0 {
+				read = 3 * time.Second
+			}
+			now += time.Duration(r.ExpFloat64() * float64(197*time.Millisecond) / engines / 0.85)
+			backlog, open := make([]time.Duration, engines), make([]int, engines)
+			for k := range engines {
+				backlog[k] = max(free[k]-now, 0)
+				ends[k] = slices.DeleteFunc(ends[k], func(end time.Duration) bool { return end <= now })
+				open[k] = len(ends[k])
+			}
+			k := choose(backlog, open)
+			waits = append(waits, backlog[k])
+			free[k] = max(free[k], now) + read
+			ends[k] = append(ends[k], free[k])
+		}
+		slices.Sort(waits)
+		return waits[len(waits)*95/100]
+	}
+	byCount := run(func(_ []time.Duration, open []int) int { return slices.Index(open, slices.Min(open)) })
+	byTime := run(func(backlog []time.Duration, _ []int) int {
+		in := EngineInput{Read: 50 * time.Millisecond}
+		for k := range engines {
+			in.Engines = append(in.Engines, Engine{Backlog: backlog[k], Server: model.BackendServer{
+				Backend: model.BackendID(fmt.Sprint(k)), State: model.BackendReady, Slots: 48,
+			}})
+		}
+		id := Earliest{}.Decide(in).Server.Backend
+		return int(id[0] - '0')
+	})
+	perfect := run(func(backlog []time.Duration, _ []int) int { return slices.Index(backlog, slices.Min(backlog)) })
+	if float64(byTime) > 1.15*float64(perfect) || byTime >= byCount {
+		t.Errorf("95%% of prompts wait less than %v; perfect knowledge gives %v, the number of requests %v", byTime, perfect, byCount)
+	}
+}
