--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -97,6 +97,7 @@
 	add("status", "Show what is in force where, and what the owners do.", bindStatus)
 	add("metrics", "Print the metrics of one instance, entry or agent.", bindMetrics)
 	add("explain", "Show why a request came out as it did.", bindExplain)
+	add("trace", "Tell from logs why a request failed, or group failed requests by cause.", bindTrace)
 	add("report", "Sum the usage by organisation, service and day.", bindReport)
 	add("rotate", "Add a new key for session tokens; older tokens stay valid.", bindRotate)
 	add("local", "Run entries, agents and stand-ins in one process, to try it out.", bindLocal)
@@ -108,12 +109,13 @@
 	var faults parser.Faults
 	var race *operator.RaceError
 	var unknown *operator.UnknownInstanceError
+	var untraced *unknownRequestError
 	switch {
 	case errors.As(err, &faults):
 		return exitBadInput
 	case errors.As(err, &race):
 		return exitConflict
-	case errors.As(err, &unknown), storer.IsKind(err, storer.KindNotFound):
+	case errors.As(err, &unknown), errors.As(err, &untraced), storer.IsKind(err, storer.KindNotFound):
 		return exitNotFound
 	}
 	return exitFailure
