--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -20,6 +20,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/follower"
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
+	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/logger"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/quarantiner"
@@ -88,11 +89,18 @@
 	})
 	poison := quarantiner.New(quarantiner.Config{Store: store, Marks: marksKind, Log: log})
 	belief.OnMark(func(o storer.Object) { poison.Learn(o, time.Now()) })
-	f := forwarder.New(forwarder.Config{
+	var f *forwarder.Forwarder
+	gossip := gossiper.New(gossiper.Config{
+		Self: s.Instance, Place: s.Place, Address: s.Gossip, Store: store, Marks: marksKind, Log: log,
+		Local: func() map[model.BackendID]gossiper.Work { return f.Work() },
+	})
+	belief.OnMark(func(o storer.Object) { gossip.Learn(o, time.Now()) })
+	f = forwarder.New(forwarder.Config{
 		Settings: s, Names: platform.Names(), Belief: belief,
 		Versions: versions,
 		Poison:   poison,
 		Ladder:   chooser.LadderConfig{Floors: d.floors},
+		Others:   gossip.Others,
 		Clock:    follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
@@ -100,6 +108,11 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	wg.Go(func() { belief.Run(life) })
 	wg.Go(func() { versions.Run(life) })
+	if conn, err := listenGossip(s.Gossip); err != nil {
+		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: other entries are not heard")
+	} else {
+		wg.Go(func() { gossip.Run(life, conn) })
+	}
 	wg.Go(func() {
 		d.reload(life, log, func(s model.DirectSettings) { belief.SetTrust(s.Trust); f.SetRepeats(s.Repeats) })
 	})
@@ -153,6 +166,15 @@
 	log.Info().Msg("direct: settings reloaded")
 }
 
+// listenGossip opens the socket for other entries' messages.
+func listenGossip(address string) (*net.UDPConn, error) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("read address %q: %w", address, err)
+	}
+	return net.ListenUDP("udp4", addr)
+}
+
 // listenDirect opens the sockets; metrics are left out if their address is taken.
 func listenDirect(s model.DirectSettings, log zerolog.Logger) (forwarder.Listeners, error) {
 	var l forwarder.Listeners
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
+	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -48,6 +49,8 @@
 	Versions Versions
 	Poison   Poison
 	Ladder   chooser.LadderConfig
+	// Others returns what other entries have open at a backend server; nil if nobody tells.
+	Others func(b model.BackendID, now time.Time) gossiper.Work
 	// Clock returns the time since boot.
 	Clock func() time.Duration
 	Meter *meter.Meter
@@ -113,6 +116,9 @@
 	return f
 }
 
+// Work returns what is open at each backend server.
+func (f *Forwarder) Work() map[model.BackendID]gossiper.Work { return f.peers.work() }
+
 // SetRepeats changes the bound on requests that are sent once more.
 func (f *Forwarder) SetRepeats(s model.RepeatSettings) { f.repeats.Set(s.Ratio, s.Window) }
 
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/breaker"
+	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -121,11 +122,26 @@
 	}
 }
 
+// work returns what is open at each peer.
+func (t *peerTable) work() map[model.BackendID]gossiper.Work {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := map[model.BackendID]gossiper.Work{}
+	for key, p := range t.peers {
+		p.mu.Lock()
+		if p.open > 0 {
+			out[key.id] = gossiper.Work{Open: p.open, Backlog: p.backlog}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
 // view returns the peer for a choice, and whether its breaker keeps it out.
-func (p *peer) view(s model.BackendServer, now time.Time) (picker.Backend, bool) {
+func (p *peer) view(s model.BackendServer, others gossiper.Work, now time.Time) (picker.Backend, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := picker.Backend{Server: s, Open: p.open}
+	b := picker.Backend{Server: s, Open: p.open + others.Open}
 	if now.Sub(p.reported) < reportAge {
 		b.Running, b.Waiting, b.Sent, b.Done = p.running, p.waiting, p.sent, p.done
 	}
@@ -133,10 +149,10 @@
 }
 
 // engine returns the peer as an engine for a prompt whose shared parts are named by memory.
-func (p *peer) engine(s model.BackendServer, memory string, now time.Time) (picker.Engine, bool) {
+func (p *peer) engine(s model.BackendServer, memory string, others gossiper.Work, now time.Time) (picker.Engine, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := picker.Engine{Server: s, Backlog: p.backlog, Busy: p.open}
+	e := picker.Engine{Server: s, Backlog: p.backlog + others.Backlog, Busy: p.open + others.Open}
 	if now.Sub(p.reported) < reportAge {
 		e.Busy = max(e.Busy, p.running+p.waiting+p.sent-p.done)
 	}
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -33,7 +34,7 @@
 func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
 	in := picker.DirectInput{Self: f.cfg.Settings.Place, Dice: rand.Float64(), Now: now, Excluded: map[model.BackendID]bool{}}
 	for _, s := range servers {
-		b, cut := f.peers.get(s, now).view(s, now)
+		b, cut := f.peers.get(s, now).view(s, f.others(s.Backend, now), now)
 		in.Excluded[s.Backend] = cut
 		in.Backends = append(in.Backends, b)
 	}
@@ -59,7 +60,7 @@
 		in.Large = !in.Small
 	}
 	for _, s := range servers {
-		e, cut := f.peers.get(s, now).engine(s, in.Memory, now)
+		e, cut := f.peers.get(s, now).engine(s, in.Memory, f.others(s.Backend, now), now)
 		in.Excluded[s.Backend] = cut
 		in.Engines = append(in.Engines, e)
 	}
@@ -86,6 +87,14 @@
 	return f.peers.get(choice.Server, now), true
 }
 
+// others returns what other entries have open at a backend server.
+func (f *Forwarder) others(b model.BackendID, now time.Time) gossiper.Work {
+	if f.cfg.Others == nil {
+		return gossiper.Work{}
+	}
+	return f.cfg.Others(b, now)
+}
+
 // aloneWait is the wait under which a prompt is taken to be read at once.
 const aloneWait = 100 * time.Millisecond
 
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,85 @@
+package gossiper
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/standin"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// TestEntriesHearEachOther checks that entries of one region find each other through the store,
+// sum what the others have open, forget what is old, and leave other regions and strangers out.
+func TestEntriesHearEachOther(t *testing.T) {
+	platform := standin.NewPlatform()
+	var entries []*Gossiper
+	for i, region := range []model.RegionID{"lake", "lake", "lake", "hill"} {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		work := map[model.BackendID]Work{"b": {Open: i + 1, Backlog: time.Duration(i+1) * 100 * time.Millisecond}}
+		g := New(Config{
+			Self: model.InstanceID(fmt.Sprint("e", i)), Place: model.Place{Region: region}, Address: conn.LocalAddr().String(),
+			Store: platform, Marks: "marks", Local: func() map[model.BackendID]Work { return work }, Log: zerolog.Nop(),
+		})
+		entries = append(entries, g)
+		go g.Run(t.Context(), conn)
+	}
+	learned := func() bool {
+		l, err := platform.List(t.Context(), "marks/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, g := range entries {
+			for _, o := range l.Objects {
+				g.Learn(o, time.Now())
+			}
+		}
+		return len(l.Objects) == len(entries)
+	}
+	stranger, err := net.Dial("udp4", entries[0].cfg.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	want := Work{Open: 2 + 3, Backlog: 500 * time.Millisecond}
+	var got Work
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) && got != want; time.Sleep(10 * time.Millisecond) {
+		if _, err := stranger.Write(encode(map[model.BackendID]Work{"b": {Open: 1000}})); err != nil {
+			t.Fatal(err)
+		}
+		learned()
+		got = entries[0].Others("b", time.Now())
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("open at the others (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(Work{}, entries[0].Others("b", time.Now().Add(time.Second))); diff != "" {
+		t.Errorf("open at the others by old messages (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(Work{}, entries[3].Others("b", time.Now())); diff != "" {
+		t.Errorf("open in another region (-want +got):\n%s", diff)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(encode(map[model.BackendID]Work{"a": {Open: 3, Backlog: time.Second}, "b": {}}))
+	f.Add([]byte{form, 1, 2, 3})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		work, err := decode(b)
+		if err != nil {
+			return
+		}
+		for _, w := range work {
+			if w.Open < 0 || w.Backlog < 0 || w.Backlog > time.Hour {
+				t.Errorf("message claims %+v", w)
+			}
+		}
+	})
+}
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -9,6 +9,11 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
+// timeForm shows milliseconds, so that the lines of several instances can be put in order.
+const timeForm = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeForm }
+
 // New returns a logger that names its instance on each line; form "text" is for people.
 func New(w io.Writer, cfg model.LogSettings, instance model.InstanceID) zerolog.Logger {
 	level, err := zerolog.ParseLevel(cfg.Level)
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -162,10 +162,12 @@
 type DirectSettings struct {
 	Instance InstanceID
 	Place    Place
-	// Callers, Ready and Metrics are addresses to listen on; Metrics may be empty.
+	// Callers, Ready, Metrics and Gossip are addresses to listen on, the last one for datagrams;
+	// Metrics and Gossip may be empty.
 	Callers string
 	Ready   string
 	Metrics string
+	Gossip  string
 	// Memory and Descriptors are the limits of the process.
 	Memory      Bytes
 	Descriptors int
