Share the evidence on a new version and weigh the pace of its streams

Change: entries tell each other what outcomes of the new version say, as datagrams to all; the pace of events of whole streams is weighed beside the time to the first token.

TestEntriesShareEvidence and verdicts.yaml hold the cases.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -189,11 +189,24 @@
 		out.head(rep, -1)
 	}
 	rep.finish(now)
-	f.speeds.wrote(c.model, passed, now.Sub(began))
+	f.wrote(c, rep, passed, now.Sub(began), now)
 	f.ended(c, rep, now, nil)
 	return nil
 }
 
+// wrote learns from the pace of a whole stream.
+func (f *Forwarder) wrote(c *call, rep *reply, events int, took time.Duration, now time.Time) {
+	if events < 2 {
+		return
+	}
+	between := took / time.Duration(events-1)
+	f.speeds.wrote(c.model, between)
+	o := f.outcome(c, rep.peer, false, now)
+	o.First, o.Between = 0, between
+	f.cfg.Versions.Observe(o, now)
+	f.cfg.Meter.Between(c.org, model.ClassID(c.route.Route), between)
+}
+
 var errGap = errors.New("an event of the stream is missing")
 
 // follows checks that an event comes after the last one: events that the caller has are
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,6 +79,9 @@
 	Failed bool
 	// First is the time from sending the request to the answer's head.
 	First time.Duration
+	// Between is the mean time between the events of a whole stream. It is told by an outcome of
+	// its own, after the one of the answer's head.
+	Between time.Duration
 }
 
 // Poison knows the requests that crash the backend servers that run them.
--- a/internal/forwarder/speeds.go
+++ b/internal/forwarder/speeds.go
@@ -38,11 +38,7 @@
 const priorWrite = 100 * time.Millisecond
 
 // wrote takes the mean time between the events of a whole stream.
-func (s *speeds) wrote(m model.ModelID, events int, took time.Duration) {
-	if events < 2 {
-		return
-	}
-	between := took / time.Duration(events-1)
+func (s *speeds) wrote(m model.ModelID, between time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.writes[m]
--- a/internal/gossiper/codec.go
+++ b/internal/gossiper/codec.go
@@ -8,8 +8,11 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// form is the first byte of a message; another form is not read.
-const form = 1
+// The first byte of a message tells its form; other forms are not read.
+const (
+	form     = 1
+	formNews = 2
+)
 
 var (
 	errForm      = errors.New("message has another form")
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,5 +1,6 @@
 // Package gossiper tells the entries of a region of each other's open requests, so that all see
-// how busy a backend server is before its next answer reports it. A lost message does no harm.
+// how busy a backend server is before its next answer reports it, and carries news that entries
+// have for all others. A lost message does no harm.
 package gossiper
 
 import (
@@ -9,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -61,7 +63,11 @@
 	Marks string
 	// Local returns what this entry has open.
 	Local func() map[model.BackendID]Work
-	Log   zerolog.Logger
+	// News returns what all entries are to be told since the last call, and Hear takes what
+	// another entry told; both may be nil.
+	News func() [][]byte
+	Hear func(news []byte, now time.Time)
+	Log  zerolog.Logger
 }
 
 // Gossiper knows what the other entries of the region have open.
@@ -71,7 +77,7 @@
 	mu      sync.RWMutex
 	members map[model.InstanceID]*member
 	byAddr  map[netip.AddrPort]*member
-	// told is false as long as the last message held something that is over now.
+	// told is false as long as the last message held something that is over now; only Run uses it.
 	told bool
 }
 
@@ -81,6 +87,8 @@
 	heard time.Time
 	sent  time.Time
 	work  map[uint32]Work
+	// far entries are in another region and get news only.
+	far bool
 }
 
 // mark is the stored address of an entry.
@@ -114,9 +122,6 @@
 		g.cfg.Log.Error().Err(err).Str("key", o.Key).Msg("gossiper: a mark cannot be read and is left out")
 		return
 	}
-	if m.Region != g.cfg.Place.Region {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if old := g.members[model.InstanceID(name)]; old != nil {
@@ -125,7 +130,7 @@
 		}
 		delete(g.byAddr, old.addr)
 	}
-	e := &member{addr: addr, heard: now}
+	e := &member{addr: addr, heard: now, far: m.Region != g.cfg.Place.Region}
 	g.members[model.InstanceID(name)] = e
 	g.byAddr[addr] = e
 	g.cfg.Log.Info().Str("entry", name).Str("address", m.Address).Msg("gossiper: another entry is known")
@@ -206,25 +211,39 @@
 	return nil
 }
 
-// tell sends what is open to the others. Nothing is sent while nothing is and was open.
+// tell sends news to all entries, and what is open to those of the region. Nothing is sent while
+// nothing is and was open.
 func (g *Gossiper) tell(conn *net.UDPConn, now time.Time) {
+	if g.cfg.News != nil {
+		for _, news := range g.cfg.News() {
+			g.send(conn, append([]byte{formNews}, news...), g.audience(true, now))
+		}
+	}
 	local := g.cfg.Local()
-	g.mu.Lock()
-	idle := len(local) == 0 && g.told
+	if len(local) == 0 && g.told {
+		return
+	}
 	g.told = len(local) == 0
+	g.send(conn, encode(local), g.audience(false, now))
+}
+
+// audience returns the addresses of the other entries, those that were not heard for long only
+// now and then.
+func (g *Gossiper) audience(far bool, now time.Time) []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	var to []netip.AddrPort
 	for _, m := range g.members {
-		if now.Sub(m.heard) > quietAfter && now.Sub(m.sent) < quietEvery {
+		if m.far && !far || !m.far && now.Sub(m.heard) > quietAfter && now.Sub(m.sent) < quietEvery {
 			continue
 		}
 		m.sent = now
 		to = append(to, m.addr)
 	}
-	g.mu.Unlock()
-	if idle {
-		return
-	}
-	msg := encode(local)
+	return to
+}
+
+func (g *Gossiper) send(conn *net.UDPConn, msg []byte, to []netip.AddrPort) {
 	for _, addr := range to {
 		if _, err := conn.WriteToUDPAddrPort(msg, addr); err != nil {
 			g.cfg.Log.Debug().Err(err).Str("address", addr.String()).Msg("gossiper: an entry could not be told")
@@ -244,16 +263,31 @@
 			g.cfg.Log.Debug().Err(err).Msg("gossiper: a message could not be read")
 			continue
 		}
-		work, err := decode(buf[:n])
-		if err != nil {
+		if err := g.take(buf[:n], from, time.Now()); err != nil {
 			g.cfg.Log.Debug().Err(err).Str("from", from.String()).Msg("gossiper: a message is malformed and is left out")
-			continue
 		}
-		g.mu.Lock()
-		// Only entries that the store names are believed.
-		if m := g.byAddr[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]; m != nil {
-			m.work, m.heard = work, time.Now()
+	}
+}
+
+// take reads one message. Only entries that the store names are believed.
+func (g *Gossiper) take(msg []byte, from netip.AddrPort, now time.Time) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.byAddr[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+	if m == nil {
+		return nil
+	}
+	m.heard = now
+	if len(msg) > 0 && msg[0] == formNews {
+		if g.cfg.Hear != nil {
+			g.cfg.Hear(slices.Clone(msg[1:]), now)
 		}
-		g.mu.Unlock()
+		return nil
 	}
+	work, err := decode(msg)
+	if err != nil {
+		return err
+	}
+	m.work = work
+	return nil
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 func TestEntriesHearEachOther(t *testing.T) {
 	platform := standin.NewPlatform()
 	var entries []*Gossiper
+	var heard [4]atomic.Int64
 	for i, region := range []model.RegionID{"lake", "lake", "lake", "hill"} {
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
@@ -27,6 +29,12 @@
 		g := New(Config{
 			Self: model.InstanceID(fmt.Sprint("e", i)), Place: model.Place{Region: region}, Address: conn.LocalAddr().String(),
 			Store: platform, Marks: "marks", Local: func() map[model.BackendID]Work { return work }, Log: zerolog.Nop(),
+			News: func() [][]byte { return [][]byte{[]byte("news")} },
+			Hear: func(news []byte, _ time.Time) {
+				if string(news) == "news" {
+					heard[i].Add(1)
+				}
+			},
 		})
 		entries = append(entries, g)
 		go g.Run(t.Context(), conn)
@@ -60,6 +68,13 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("open at the others (-want +got):\n%s", diff)
 	}
+	for i := range heard {
+		for end := time.Now().Add(2 * time.Second); heard[i].Load() == 0; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("entry %d heard no news", i)
+			}
+		}
+	}
 	if diff := cmp.Diff(Work{}, entries[0].Others("b", time.Now().Add(time.Second))); diff != "" {
 		t.Errorf("open at the others by old messages (-want +got):\n%s", diff)
 	}
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
 	"github.com/bramleyhinge/bramleyhinge/internal/guard"
@@ -28,71 +29,120 @@
 type judge struct {
 	guard   *guard.Guard
 	bases   map[baseKey]float64
-	servers map[model.BackendID]*record
+	servers map[model.BackendID]record
 }
 
 // baseKey groups requests whose answers take about as long.
 type baseKey struct {
 	route model.RouteID
 	model model.ModelID
+	// between tells times between events from those to an answer's head.
+	between bool
 }
 
 // record counts one backend server's outcomes.
-type record struct{ asked, failed, slow int }
+type record struct {
+	Asked  int `json:"asked"`
+	Failed int `json:"failed,omitempty"`
+	Slow   int `json:"slow,omitempty"`
+}
+
+func (r record) plus(more record) record {
+	return record{Asked: r.Asked + more.Asked, Failed: r.Failed + more.Failed, Slow: r.Slow + more.Slow}
+}
 
 func newJudge() *judge {
-	return &judge{guard: guard.NewWith(guard.Config{Factors: []float64{slowFactor}, LogVariance: headVariance}), bases: map[baseKey]float64{}, servers: map[model.BackendID]*record{}}
+	return &judge{guard: guard.NewWith(guard.Config{Factors: []float64{slowFactor}, LogVariance: headVariance}), bases: map[baseKey]float64{}, servers: map[model.BackendID]record{}}
 }
 
 // control takes an outcome of another version.
 func (j *judge) control(o forwarder.Outcome) {
-	t := model.Tally{Requests: 1}
+	var t model.Tally
+	if o.Between == 0 {
+		t.Requests = 1
+	}
 	if o.Failed {
 		t.Failures = 1
 	} else if r, ok := j.relative(o); ok {
 		t.Timed, t.LogFirst, t.LogFirst2 = 1, r, r*r
 	}
 	j.guard.Control(t)
-	if !o.Failed && o.First > 0 {
-		key := baseKey{o.Route, o.Model}
-		log := math.Log(o.First.Seconds())
-		base, ok := j.bases[key]
-		if !ok {
-			base = log
-		}
-		j.bases[key] = base + (log-base)*baseWeight
+	key, took := timed(o)
+	if o.Failed || took <= 0 {
+		return
 	}
+	log := math.Log(took.Seconds())
+	base, ok := j.bases[key]
+	if !ok {
+		base = log
+	}
+	j.bases[key] = base + (log-base)*baseWeight
 }
 
-// relative returns the logarithm of the time to the head over the old version's usual one.
+// timed returns the time that an outcome tells, and the kind of time.
+func timed(o forwarder.Outcome) (baseKey, time.Duration) {
+	if o.Between > 0 {
+		return baseKey{o.Route, o.Model, true}, o.Between
+	}
+	return baseKey{o.Route, o.Model, false}, o.First
+}
+
+// relative returns the logarithm of an outcome's time over the old version's usual one.
 func (j *judge) relative(o forwarder.Outcome) (float64, bool) {
-	base, ok := j.bases[baseKey{o.Route, o.Model}]
-	if !ok || o.First <= 0 {
+	key, took := timed(o)
+	base, ok := j.bases[key]
+	if !ok || took <= 0 {
 		return 0, false
 	}
-	return math.Log(o.First.Seconds()) - base, true
+	return math.Log(took.Seconds()) - base, true
 }
 
-// observe takes an outcome of the new version and returns the verdict on it. Its times count
-// only while another version runs beside it, since load slows both.
-func (j *judge) observe(o forwarder.Outcome, beside bool) guard.Verdict {
-	s := j.servers[o.Backend]
-	if s == nil {
-		s = &record{}
-		j.servers[o.Backend] = s
+// evidence is what a number of outcomes of the new version tell.
+type evidence struct {
+	Tally   model.Tally                `json:"tally"`
+	Servers map[model.BackendID]record `json:"servers"`
+}
+
+// weigh returns what an outcome of the new version tells. Its times count only while another
+// version runs beside it, since load slows both.
+func (j *judge) weigh(o forwarder.Outcome, beside bool) evidence {
+	var t model.Tally
+	var s record
+	if o.Between == 0 {
+		t.Requests, s.Asked = 1, 1
 	}
-	s.asked++
-	t := model.Tally{Requests: 1}
 	if o.Failed {
-		t.Failures = 1
-		s.failed++
+		t.Failures, s.Failed = 1, 1
 	} else if r, ok := j.relative(o); ok && beside {
 		t.Timed, t.LogFirst, t.LogFirst2 = 1, r, r*r
 		if r > math.Log(slowFactor) {
-			s.slow++
+			s.Slow = 1
 		}
 	}
-	v := j.guard.Observe(t)
+	return evidence{Tally: t, Servers: map[model.BackendID]record{o.Backend: s}}
+}
+
+// add sums evidence.
+func (e *evidence) add(more evidence) {
+	e.Tally.Requests += more.Tally.Requests
+	e.Tally.Failures += more.Tally.Failures
+	e.Tally.Timed += more.Tally.Timed
+	e.Tally.LogFirst += more.Tally.LogFirst
+	e.Tally.LogFirst2 += more.Tally.LogFirst2
+	if e.Servers == nil {
+		e.Servers = map[model.BackendID]record{}
+	}
+	for id, r := range more.Servers {
+		e.Servers[id] = e.Servers[id].plus(r)
+	}
+}
+
+// observe takes evidence on the new version and returns the verdict on it.
+func (j *judge) observe(e evidence) guard.Verdict {
+	for id, r := range e.Servers {
+		j.servers[id] = j.servers[id].plus(r)
+	}
+	v := j.guard.Observe(e.Tally)
 	v.Bad = v.Bad && j.widespread()
 	return v
 }
@@ -102,7 +152,7 @@
 	asked, faulty := 0, 0
 	for _, s := range j.servers {
 		asked++
-		if s.failed > 0 || s.slow > 0 {
+		if s.Failed > 0 || s.Slow > 0 {
 			faulty++
 		}
 	}
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -71,10 +71,12 @@
 	base  model.VersionID
 	stage int
 	// since is when the stage was first seen.
-	since    time.Time
-	judge    *judge
-	bad      bool
-	reason   string
+	since  time.Time
+	judge  *judge
+	bad    bool
+	reason string
+	// news is the evidence that the other entries were not told yet.
+	news     evidence
 	sessions map[string]seen
 	// next is the earliest time of the next write.
 	next time.Time
@@ -177,15 +179,66 @@
 		r.judge.control(o)
 		return
 	}
-	v := r.judge.observe(o, stages[r.stage].share < 1)
-	if !v.Bad || r.order.Reported == r.order.Version && r.order.State == model.RolloutCompleted {
+	e := r.judge.weigh(o, stages[r.stage].share < 1)
+	r.news.add(e)
+	s.weigh(r, e, now)
+}
+
+// weigh takes evidence on a roll-out's version; the lock is held.
+func (s *Shifter) weigh(r *roll, e evidence, now time.Time) {
+	v := r.judge.observe(e)
+	if !v.Bad || r.bad || r.order.Reported == r.order.Version && r.order.State == model.RolloutCompleted {
 		return
 	}
 	r.bad, r.reason, r.next = true, v.Reason, now
-	s.cfg.Log.Warn().Str("service", string(o.Service)).Str("version", string(o.Version)).Str("reason", v.Reason).Float64("level", v.Level).
+	s.cfg.Log.Warn().Str("service", string(r.order.Service)).Str("version", string(r.order.Version)).Str("reason", v.Reason).Float64("level", v.Level).
 		Int("seen", r.judge.guard.Seen()).Int("stage", r.stage).Msg("shifter: the version is bad and gets nothing more")
 }
 
+// news is the evidence on a roll-out's version that one entry tells the others. Each entry alone
+// sees too little of a version that gets few requests.
+type news struct {
+	Service model.ServiceID `json:"service"`
+	Version model.VersionID `json:"version"`
+	Order   model.Revision  `json:"order"`
+	evidence
+}
+
+// News returns the evidence that was not told yet.
+func (s *Shifter) News() [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out [][]byte
+	for service, r := range s.rolls {
+		if r.news.Tally.Requests+r.news.Tally.Timed == 0 || stages[r.stage].share >= 1 && r.news.Tally.Failures == 0 {
+			// At full share each entry sees enough; only failures are worth a message.
+			continue
+		}
+		b, err := json.Marshal(news{Service: service, Version: r.order.Version, Order: r.order.Created, evidence: r.news})
+		r.news = evidence{}
+		if err != nil {
+			s.cfg.Log.Error().Err(err).Str("service", string(service)).Msg("shifter: evidence cannot be encoded and is not told")
+			continue
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// Hear takes evidence of another entry.
+func (s *Shifter) Hear(b []byte, now time.Time) {
+	var n news
+	if err := json.Unmarshal(b, &n); err != nil {
+		s.cfg.Log.Debug().Err(err).Msg("shifter: evidence of another entry cannot be read")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.rolls[n.Service]; r != nil && r.order.Version == n.Version && r.order.Created == n.Order {
+		s.weigh(r, n.evidence, now)
+	}
+}
+
 // Run moves roll-outs on until the context ends.
 func (s *Shifter) Run(ctx context.Context) {
 	t := time.NewTicker(tick)
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -163,6 +165,7 @@
 		Servers int
 		Every   int
 		Ms      int
+		Pace    int
 		Alone   bool
 	}
 	type verdictCase struct {
@@ -180,11 +183,18 @@
 						Backend: model.BackendID(fmt.Sprint("b", i%max(p.Servers, 1))), Route: "r", Model: "m",
 						Failed: p.Every > 0 && i%p.Every == 0, First: time.Duration(p.Ms) * time.Millisecond,
 					}
-					if p.Old {
-						j.control(o)
-						continue
+					outcomes := []forwarder.Outcome{o}
+					if p.Pace > 0 {
+						o.First, o.Between = 0, time.Duration(p.Pace)*time.Millisecond
+						outcomes = append(outcomes, o)
+					}
+					for _, o := range outcomes {
+						if p.Old {
+							j.control(o)
+							continue
+						}
+						bad = bad || j.observe(j.weigh(o, !p.Alone)).Bad
 					}
-					bad = bad || j.observe(o, !p.Alone).Bad
 				}
 			}
 			if diff := cmp.Diff(c.Bad, bad); diff != "" {
@@ -193,3 +203,64 @@
 		})
 	}
 }
+
+// TestEntriesShareEvidence checks that a bad version is found from few requests at each of many
+// entries, that evidence on another order is left out, and that malformed evidence changes nothing.
+func TestEntriesShareEvidence(t *testing.T) {
+	belief := &fixedBelief{order: testOrder(model.RolloutRunning, "")}
+	var entries []*Shifter
+	for range 20 {
+		entries = append(entries, New(Config{Belief: belief, Marks: "marks", Log: zerolog.Nop()}))
+	}
+	now := time.Unix(1000, 0)
+	outcome := func(i int, v model.VersionID, failed bool) forwarder.Outcome {
+		return forwarder.Outcome{Service: "drafts", Version: v, Backend: model.BackendID(fmt.Sprint("b", i%6)), Failed: failed}
+	}
+	for i, e := range entries {
+		e.Choose("drafts", "s", now)
+		for range 100 {
+			e.Observe(outcome(i, "v1", false), now)
+		}
+		e.Hear([]byte(`{"service":`), now)
+		e.Hear([]byte(`{"service":"drafts","version":"v2","order":99,"tally":{"requests":50,"failures":50}}`), now)
+	}
+	share := func() {
+		for i, e := range entries {
+			for _, b := range e.News() {
+				for k, other := range entries {
+					if k != i {
+						other.Hear(b, now)
+					}
+				}
+			}
+		}
+	}
+	bad := func() (n int) {
+		for _, e := range entries {
+			if !e.Choose("drafts", "s", now).Allows("v2") && e.rolls["drafts"].bad {
+				n++
+			}
+		}
+		return n
+	}
+	if diff := cmp.Diff(0, bad()); diff != "" {
+		t.Errorf("entries that hold the version for bad at first (-want +got):\n%s", diff)
+	}
+	for i, e := range entries {
+		e.Observe(outcome(i, "v2", i%2 == 0), now)
+	}
+	share()
+	if diff := cmp.Diff(len(entries), bad()); diff != "" {
+		t.Errorf("entries that hold the version for bad after one request each (-want +got):\n%s", diff)
+	}
+}
+
+// fixedBelief is a belief in one order.
+type fixedBelief struct{ order model.RolloutOrder }
+
+func (b *fixedBelief) Order(model.ServiceID) (model.RolloutOrder, bool) { return b.order, true }
+func (b *fixedBelief) Orders() []model.RolloutOrder                     { return []model.RolloutOrder{b.order} }
+func (b *fixedBelief) Mark(string) (storer.Object, bool)                { return storer.Object{}, false }
+func (b *fixedBelief) Servers(model.ServiceID, time.Time) []model.BackendServer {
+	return nil
+}
