--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -89,21 +89,23 @@
 // close drops the connection; errors of a connection that is given up tell nothing.
 func (c *conn) close() { _ = c.Conn.Close() }
 
-// connect returns a connection to the peer: one that idles, or a new one.
-func (f *Forwarder) connect(ctx context.Context, p *peer, repeat model.Repeat, now time.Time) (*conn, error) {
+// connect returns a connection to the peer: one that idles unless a new one is asked for.
+func (f *Forwarder) connect(ctx context.Context, p *peer, repeat model.Repeat, anew bool, now time.Time) (*conn, error) {
 	fresh := time.Duration(0)
 	if repeat == model.RepeatNever {
 		// A connection that the peer closes as the request arrives leaves open whether it ran.
 		fresh = neverFresh
 	}
-	if c := p.take(now, fresh); c != nil {
-		c.reused = true
-		return c, nil
+	if !anew {
+		if c := p.take(now, fresh); c != nil {
+			c.reused = true
+			return c, nil
+		}
 	}
 	f.cfg.Meter.Count("connections/opened", 1)
 	return dial(ctx, p.server.Address)
 }
 
 // neverFresh is how recently a connection must have been in use for a request that must not
-// run twice; backend servers close idle ones after seconds.
-const neverFresh = 2 * time.Second
+// run twice; backend servers may drop idle ones without notice.
+const neverFresh = 250 * time.Millisecond
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -39,6 +39,8 @@
 	fate  fate
 	cause error
 	retry time.Duration
+	// dropped means that a connection that had idled was closed as soon as it was used again.
+	dropped bool
 }
 
 // Error names the fate and its cause.
@@ -60,13 +62,17 @@
 	sealed  bool
 }
 
+// dropLimit is the time within which a dropped connection shows itself: two round trips between
+// regions.
+const dropLimit = 60 * time.Millisecond
+
 // maxForeign is the number of late answers to other requests that are skipped on a connection.
 const maxForeign = 2
 
 // exchange sends the request and reads the head of the answer, waiting at most patience for it.
 func (f *Forwarder) exchange(ctx context.Context, c *call, p *peer, patience time.Duration) (*reply, *failure) {
 	now := time.Now()
-	cn, err := f.connect(ctx, p, c.route.Repeat, now)
+	cn, err := f.connect(ctx, p, c.route.Repeat, c.anew, now)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, &failure{fate: fateLeft, cause: ctx.Err()}
@@ -111,7 +117,10 @@
 	for foreign := 0; ; foreign++ {
 		resp, err := http.ReadResponse(rep.conn.r, &http.Request{Method: c.method})
 		if err != nil {
-			return broken(ctx, err)
+			fail := broken(ctx, err)
+			// ReadResponse peeks first, so no byte of an answer was read if none is buffered.
+			fail.dropped = rep.conn.reused && fail.fate == fateBroken && foreign == 0 && time.Since(c.began) < dropLimit
+			return fail
 		}
 		rep.Response = resp
 		if load := resp.Header.Get(n.Load); load != "" {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -188,6 +188,35 @@
 	}
 }
 
+// TestDroppedIdleConnections checks that requests on connections which the backend server drops
+// when they are used again are answered, those that must run once by a connection that did not
+// idle.
+func TestDroppedIdleConnections(t *testing.T) {
+	for _, route := range []string{"safe", "never"} {
+		t.Run(route, func(t *testing.T) {
+			b := &backends{t: t, replies: []string{"dropidle", "dropidle", "ok"}}
+			e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(1)})
+			var got []int
+			for i := range 3 {
+				r, _ := http.NewRequest(http.MethodGet, "http://"+e.callers+"/"+route+"/a", nil)
+				r.Host = "a.example"
+				r.Header.Set("Id", fmt.Sprint("request-", i))
+				r.Header.Set("Authorization", "Key good")
+				resp, err := http.DefaultTransport.RoundTrip(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp.Body.Close()
+				got = append(got, resp.StatusCode)
+				time.Sleep(neverFresh + 50*time.Millisecond)
+			}
+			if diff := cmp.Diff([]int{200, 200, 200}, got); diff != "" {
+				t.Errorf("statuses (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestCallerLeaves checks that the work at the backend server ends soon after its caller left.
 func TestCallerLeaves(t *testing.T) {
 	for _, reply := range []string{"silent", "endless 1 2"} {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -144,6 +144,10 @@
 	case "surplus":
 		fmt.Fprint(c, answer(req, "", "answer"), "HTTP/1.1 200 OK\r\n\r\nmore")
 		return true
+	case "dropidle":
+		fmt.Fprint(c, answer(req, "", "answer"))
+		_, _ = r.Peek(1)
+		reset(c)
 	case "unsealed":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "answer"), "Seal: s\r\n", "", 1))
 		return true
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -51,6 +51,9 @@
 	alone bool
 	// unread is the number of prompt tokens that are not kept there.
 	unread int
+	// anew asks for a new connection, after one that had idled was dropped; again is set once the
+	// same backend server was asked again for that.
+	anew, again bool
 	// began is when the present attempt was sent.
 	began time.Time
 	// sent counts backend servers that were handed the request, dials those that were not reached.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -98,6 +98,9 @@
 	if errors.Is(fail.cause, errStep) {
 		return nil, true
 	}
+	if f.redial(c, p, fail, now) {
+		return nil, true
+	}
 	blamed := false
 	switch fail.fate {
 	case fateUnreached:
@@ -135,6 +138,21 @@
 	return refusal, !f.cfg.Poison.Banned(c.print, now)
 }
 
+// redial reports whether a request is sent to the same backend server once more, because a
+// connection that had idled was dropped when it was used. That is no new backend server, but it
+// draws on the budget of repeats.
+func (f *Forwarder) redial(c *call, p *peer, fail *failure, now time.Time) bool {
+	if !fail.dropped || c.again || !repeatable(c) || !f.repeats.Take(c.service.Service, now) {
+		return false
+	}
+	c.anew, c.again, c.ran = true, true, true
+	c.sent--
+	f.cfg.Meter.Count("connections/dropped", 1)
+	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(p.server.Backend)).AnErr("cause", fail.cause).
+		Msg("forwarder: an idle connection was dropped, sending on a new one")
+	return true
+}
+
 // confirmCrash asks whether a backend server that broke off is gone: a lost answer or a reset
 // connection is no crash.
 func (f *Forwarder) confirmCrash(fingerprint uint64, p *peer) {
--- a/pkg/model/refusal.go
+++ b/pkg/model/refusal.go
@@ -18,7 +18,7 @@
 // RefusalKind is the machine-readable reason of a refusal.
 type RefusalKind string
 
-// Kinds of refusal; docs/operators.md lists each with its remedy.
+// Kinds of refusal; docs/OPERATIONS.md lists each with its remedy.
 const (
 	KindBadRequest    RefusalKind = "bad_request"
 	KindIncomplete    RefusalKind = "incomplete_body"
--- a/pkg/model/refusal_test.go
+++ b/pkg/model/refusal_test.go
@@ -15,13 +15,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	page, err := os.ReadFile("../../docs/operators.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, m := range kindConstant.FindAllStringSubmatch(string(source), -1) {
 		if !strings.Contains(string(page), "| `"+m[1]+"` |") {
-			t.Errorf("docs/operators.md does not explain %s", m[1])
+			t.Errorf("docs/OPERATIONS.md does not explain %s", m[1])
 		}
 	}
 }
