Make the urgency within a batch a decision of its own

Cause: the rank was worked out in the data path, without a test, and would have failed on an engine's route that leaves the model to its callers. The organisation's rank was read and not used.

--- /dev/null
+++ b/internal/admitter/urgency.go
@@ -0,0 +1,36 @@
+package admitter
+
+// UrgencyInput is what the urgency of a prompt within an engine's batch follows from.
+type UrgencyInput struct {
+	// Large tells that the largest of several models is to read the prompt.
+	Large bool
+	// Tokens is the number of prompt tokens.
+	Tokens int
+}
+
+const (
+	// largeUrgency sets prompts of the largest model behind those of smaller ones, which are read
+	// in a tenth of the time.
+	largeUrgency = 3
+	// firstTokens is the size up to which a prompt is the most urgent of its model; each further
+	// step is three times as long.
+	firstTokens = 2000
+	stepTokens  = 3
+	// leastUrgent is the last rank that engines know.
+	leastUrgent = 9
+)
+
+// Urgency returns the rank of a prompt within an engine's batch; 0 is first. It answers prompts of
+// very unlike length at one engine: the shortest work goes first, so that a long prompt does not
+// hold up many short ones (shortest job first). Kinds of request that are more urgent have the
+// shorter prompts here; the rank of a route is not weighed.
+func Urgency(in UrgencyInput) int {
+	rank := 0
+	if in.Large {
+		rank = largeUrgency
+	}
+	for size := firstTokens; size < in.Tokens && rank < leastUrgent; size *= stepTokens {
+		rank++
+	}
+	return rank
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -190,14 +191,8 @@
 	}
 	h.Set(n.TimeLeft, strconv.FormatInt(max(c.deadline.Sub(now).Milliseconds(), 1), 10))
 	if c.service.Engine != nil {
-		r := 0
-		if c.model == c.route.Models[len(c.route.Models)-1] {
-			r = 3
-		}
-		for t := 2000; t < c.prompt.tokens; t *= 3 {
-			r++
-		}
-		h.Set(n.Rank, strconv.Itoa(min(max(r, 0), 9)))
+		large := len(c.route.Models) > 1 && c.model == c.route.Models[len(c.route.Models)-1]
+		h.Set(n.Rank, strconv.Itoa(admitter.Urgency(admitter.UrgencyInput{Large: large, Tokens: c.prompt.tokens})))
 	}
 	if c.model != "" {
 		h.Set(n.Model, string(c.model))
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -230,7 +230,7 @@
 	larger := c.route.Models[len(c.route.Models)-1]
 	choice, _ := f.weighEngines(c, larger, f.open(c, now), now)
 	next, why := f.ladder.Step(chooser.StepInput{
-		Models: c.route.Models, Ran: c.model, Confidence: confidence, Rank: c.route.Rank,
+		Models: c.route.Models, Ran: c.model, Confidence: confidence, Rank: c.rank,
 		Attempts: c.route.Attempts - c.sent,
 		Repeat:   choice.Found && f.repeats.Allowed(c.service.Service, repeatReserve, now),
 		Fill:     choice.Fill,
