Tell truly that a request ran whose answer was dropped for a larger model

After an answer of the smallest model was dropped, a refusal by the larger model's engines was passed on as 503, not run, although the request had run once.

Change: a dropped answer counts as a run; the refusal is 502. Tests share one reader of their cases.

--- a/internal/admitter/urgency_test.go
+++ b/internal/admitter/urgency_test.go
@@ -3,31 +3,24 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	gocmp "github.com/google/go-cmp/cmp"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 )
 
 // TestUrgency reads ranks from a table.
 func TestUrgency(t *testing.T) {
-	b, err := os.ReadFile("testdata/urgencies.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []struct {
+	type urgencyCase struct {
 		Name   string
 		Large  bool
 		Tokens int
 		Want   int
 	}
-	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range tester.Load[urgencyCase](t, "urgencies.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			if diff := gocmp.Diff(c.Want, Urgency(UrgencyInput{Large: c.Large, Tokens: c.Tokens})); diff != "" {
 				t.Errorf("urgency (-want +got):\n%s", diff)
--- a/internal/chooser/ladder_test.go
+++ b/internal/chooser/ladder_test.go
@@ -1,13 +1,12 @@
 package chooser
 
 import (
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -25,16 +24,8 @@
 		Whole      time.Duration
 		Want       model.ModelID
 	}
-	b, err := os.ReadFile("testdata/steps.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []stepCase
-	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
 	l := NewLadder(LadderConfig{Floors: []int{65, 55, 45}})
-	for _, c := range cases {
+	for _, c := range tester.Load[stepCase](t, "steps.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			in := StepInput{
 				Models: []model.ModelID{"small", "middle", "large"}, Ran: "small", Confidence: c.Confidence, Rank: c.Rank,
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -14,22 +14,10 @@
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
-)
 
-func load[T any](t *testing.T, file string) []T {
-	t.Helper()
-	b, err := os.ReadFile("testdata/" + file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []T
-	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	return cases
-}
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
+)
 
 var eventData = regexp.MustCompile(`data: (\d+)`)
 
@@ -50,7 +38,7 @@
 		Replies []string
 		Result  `yaml:",inline"`
 	}
-	for _, c := range load[answerCase](t, "answers.yaml") {
+	for _, c := range tester.Load[answerCase](t, "answers.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			b := &backends{t: t, replies: c.Replies}
@@ -111,7 +99,7 @@
 		Status   int
 		Seen     map[string]string
 	}
-	for _, c := range load[requestCase](t, "requests.yaml") {
+	for _, c := range tester.Load[requestCase](t, "requests.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			b := &backends{t: t, replies: []string{"ok"}}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -141,6 +142,9 @@
 	case "foreign":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "other"), "Id: "+id, "Id: other", 1), answer(req, "", "answer"))
 		return true
+	case "doubt":
+		fmt.Fprint(c, strings.Replace(answer(req, "", "poor"), "Seal: s", "Seal: s\r\nConfidence: 10", 1))
+		return true
 	case "surplus":
 		fmt.Fprint(c, answer(req, "", "answer"), "HTTP/1.1 200 OK\r\n\r\nmore")
 		return true
@@ -229,15 +233,22 @@
 			Timeout: 700 * time.Millisecond, Target: 300 * time.Millisecond, Split: split, Attempts: 3, Public: name == "public",
 		}
 	}
+	sized := route("sized", model.RepeatResume, true)
+	sized.Models = []model.ModelID{"small", "large"}
+	sized.Split = []model.PlanShare{{Service: "engines", Weight: 1}}
 	return &model.Plan{
 		Version: 1,
 		Routes: []model.PlanRoute{
+			sized,
 			route("safe", model.RepeatSafe, false), route("never", model.RepeatNever, false), route("public", model.RepeatSafe, false),
 			route("stream", model.RepeatResume, true), route("once", model.RepeatNever, true),
 		},
-		Services: map[model.ServiceID]model.PlanService{"svc": {Service: "svc"}},
-		Keys:     map[model.KeyHash]model.PlanHolder{model.HashKey("good"): {Organisation: "mill", Rank: -1}},
-		Limits:   model.PlanLimits{Header: 8 << 10, Body: 2048, HeaderTimeout: time.Second, IdleTimeout: time.Second},
+		Services: map[model.ServiceID]model.PlanService{
+			"svc":     {Service: "svc"},
+			"engines": {Service: "engines", Engine: &model.PlanEngine{Slots: 8, Costs: map[model.ModelID]float64{"small": 0.02, "large": 0.3}}},
+		},
+		Keys:   map[model.KeyHash]model.PlanHolder{model.HashKey("good"): {Organisation: "mill", Rank: -1}},
+		Limits: model.PlanLimits{Header: 8 << 10, Body: 2048, HeaderTimeout: time.Second, IdleTimeout: time.Second},
 	}
 }
 
@@ -255,7 +266,8 @@
 		Settings: model.DirectSettings{
 			Memory: 64 << 20, Grace: 2 * time.Second, Repeats: model.RepeatSettings{Ratio: 10, Window: 10 * time.Second},
 		},
-		Names: testNames, Belief: belief, Versions: allVersions{}, Poison: fakePoison{},
+		Ladder: chooser.LadderConfig{Floors: []int{70}},
+		Names:  testNames, Belief: belief, Versions: allVersions{}, Poison: fakePoison{},
 		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
 	})
 	listen := func() net.Listener {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -96,6 +96,8 @@
 func (f *Forwarder) judge(ctx context.Context, c *call, p *peer, fail *failure) (*model.Refusal, bool) {
 	now := time.Now()
 	if errors.Is(fail.cause, errStep) {
+		// The smaller model ran, so no later refusal may say that the request did not.
+		c.ran = true
 		return nil, true
 	}
 	if f.redial(c, p, fail, now) {
--- a/internal/picker/engine_test.go
+++ b/internal/picker/engine_test.go
@@ -3,14 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -31,15 +30,7 @@
 		Want     model.BackendID
 		Wants    []model.BackendID
 	}
-	b, err := os.ReadFile("testdata/engines.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []engineCase
-	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range tester.Load[engineCase](t, "engines.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			in := EngineInput{
 				Self: model.Place{Region: "near", Domain: "near-a"}, Memory: c.Memory, Read: 100 * time.Millisecond, Shared: 60 * time.Millisecond,
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -2,32 +2,18 @@
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-func load[T any](t *testing.T, file string) []T {
-	t.Helper()
-	b, err := os.ReadFile("testdata/" + file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []T
-	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	return cases
-}
-
 func testOrder(state model.RolloutStatus, reported model.VersionID) model.RolloutOrder {
 	o := model.RolloutOrder{Service: "drafts", Version: "v2", Within: 24 * time.Second, Created: 7, State: state}
 	if state != "" {
@@ -54,7 +40,7 @@
 		Last     bool
 		Want     map[model.VersionID]bool
 	}
-	for _, c := range load[choiceCase](t, "choices.yaml") {
+	for _, c := range tester.Load[choiceCase](t, "choices.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			choice := choose(chooseInput{
 				order: testOrder(c.State, c.Reported), base: c.Base, stage: c.Stage, bad: c.Bad, session: c.Session, known: c.Known, last: c.Last,
@@ -84,7 +70,7 @@
 		Stage    int
 		Want     model.VersionID
 	}
-	for _, c := range load[baseCase](t, "bases.yaml") {
+	for _, c := range tester.Load[baseCase](t, "bases.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			in := baseInput{order: model.RolloutOrder{Version: "v3", State: c.State, Reported: c.Reported}, last: c.Last, stage: c.Stage}
 			for v, born := range c.Servers {
@@ -147,7 +133,7 @@
 		Want  deed
 	}
 	start := time.Unix(1000, 0)
-	for _, c := range load[deedCase](t, "deeds.yaml") {
+	for _, c := range tester.Load[deedCase](t, "deeds.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			r := &roll{order: testOrder(c.State, ""), stage: c.Stage, since: start, bad: c.Bad, busy: c.Busy}
 			if diff := cmp.Diff(c.Want, due(r, "entry-1", start.Add(c.At))); diff != "" {
@@ -173,7 +159,7 @@
 		Phases []phase
 		Bad    bool
 	}
-	for _, c := range load[verdictCase](t, "verdicts.yaml") {
+	for _, c := range tester.Load[verdictCase](t, "verdicts.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			j := newJudge()
 			bad := false
--- /dev/null
+++ b/internal/tester/tester.go
@@ -0,0 +1,23 @@
+// Package tester reads the cases of tests from data files.
+package tester
+
+import (
+	"os"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Load returns the cases of a YAML file under testdata; unknown fields fail the test.
+func Load[T any](t *testing.T, file string) []T {
+	t.Helper()
+	b, err := os.ReadFile("testdata/" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []T
+	if err := yaml.UnmarshalWithOptions(b, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	return cases
+}
