--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -25,7 +25,7 @@
 	gapFactor = 2
 )
 
-// writer passes an answer to the caller.
+// writer passes an answer to the caller; started is set with its first byte.
 type writer struct {
 	w       http.ResponseWriter
 	started bool
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -168,25 +168,20 @@
 	Ready   string
 	Metrics string
 	Gossip  string
-	// Memory and Descriptors are the limits of the process.
-	Memory      Bytes
-	Descriptors int
-	// Drain is how long a leaving backend server still serves after its notice.
-	Drain time.Duration
+	// Memory is the limit of the process.
+	Memory Bytes
 	// Grace is the time between the signal to stop and the kill.
 	Grace time.Duration
 	// Trust is how long keys are believed without word from the store; 0 has no bound.
-	Trust    time.Duration
-	Repeats  RepeatSettings
-	Exposure Share
+	Trust   time.Duration
+	Repeats RepeatSettings
 	// Session is the pause after which requests of a session no longer belong together.
 	Session time.Duration
 }
 
-// RepeatSettings bounds the requests that are sent once more, over all entries: in any window
-// at most Ratio times the requests of a service, and Slack.
+// RepeatSettings bounds the requests that are sent once more: in any window at most Ratio times
+// the requests of a service.
 type RepeatSettings struct {
 	Ratio  float64
-	Slack  float64
 	Window time.Duration
 }
