Count a long answer that breaks off as ended

When an answer over 256 KiB broke off midway, the handler ended before the request was counted as ended, so its backend server looked busy for good.

Change: such an answer fails like others; the connection to the caller is cut and it is not sent again.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -91,7 +91,7 @@
 		return nil
 	}
 	if len(body) == wholeBody {
-		return f.deliverLong(c, rep, out, body)
+		return f.deliverLong(ctx, c, rep, out, body)
 	}
 	rep.finish(now)
 	out.head(rep, int64(len(body)))
@@ -101,17 +101,16 @@
 }
 
 // deliverLong passes a long answer on as it comes.
-func (f *Forwarder) deliverLong(c *call, rep *reply, out *writer, begun []byte) *failure {
+func (f *Forwarder) deliverLong(ctx context.Context, c *call, rep *reply, out *writer, begun []byte) *failure {
 	out.head(rep, rep.ContentLength)
 	c.passed = true
-	_, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(begun), rep.Body))
-	now := time.Now()
-	f.ended(c, rep, now, err)
-	if err != nil {
+	if _, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(begun), rep.Body)); err != nil {
 		rep.drop()
-		out.abort()
+		return broken(ctx, err)
 	}
+	now := time.Now()
 	rep.finish(now)
+	f.ended(c, rep, now, nil)
 	return nil
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -205,6 +205,33 @@
 	}
 }
 
+// TestLongAnswerBreaksOff checks that a long answer that breaks off midway is cut visibly, is not
+// sent again, and leaves nothing counted as open.
+func TestLongAnswerBreaksOff(t *testing.T) {
+	b := &backends{t: t, replies: []string{"longhalf"}}
+	e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(2)})
+	r, _ := http.NewRequest(http.MethodGet, "http://"+e.callers+"/safe/a", nil)
+	r.Host = "a.example"
+	r.Header.Set("Id", "request-1")
+	r.Header.Set("Authorization", "Key good")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err == nil {
+		t.Error("half an answer looks whole")
+	}
+	if diff := cmp.Diff(1, len(b.seen())); diff != "" {
+		t.Errorf("arrivals (-want +got):\n%s", diff)
+	}
+	for end := time.Now().Add(time.Second); len(e.Work()) > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("still open: %v", e.Work())
+		}
+	}
+}
+
 // TestCallerLeaves checks that the work at the backend server ends soon after its caller left.
 func TestCallerLeaves(t *testing.T) {
 	for _, reply := range []string{"silent", "endless 1 2"} {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -162,6 +162,9 @@
 		reset(c)
 	case "half":
 		fmt.Fprint(c, strings.TrimSuffix(answer(req, "", "answer"), "wer"))
+	case "longhalf":
+		body := strings.Repeat("x", 2*wholeBody)
+		fmt.Fprint(c, strings.TrimSuffix(answer(req, "", body), body[:wholeBody/2]))
 	case "notrun":
 		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return true
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -134,7 +134,7 @@
 	if fail.fate == fateUnreached {
 		return refusal, c.dials < maxDials
 	}
-	if c.sent >= c.route.Attempts || c.ran && !repeatable(c) {
+	if c.sent >= c.route.Attempts || c.ran && !repeatable(c) || c.passed && !c.route.Stream {
 		return refusal, false
 	}
 	return refusal, !f.cfg.Poison.Banned(c.print, now)
