Cut a stream when a failure comes where it should go on

A stream broke off at two backend servers, and the third, the last one allowed, answered 500: its body was passed on after the events that the caller had, and the answer ended as if it were whole.

Change: an answer other than a success fails the attempt once a part of the stream was passed on; the caller's connection is cut.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -56,6 +57,11 @@
 		rep.drop()
 		return &failure{fate: fateNotRun, cause: errStep}
 	}
+	if c.passed && !rep.success() {
+		// The caller has a part of a successful answer, which a failure cannot end.
+		rep.drop()
+		return &failure{fate: fateFailed, cause: fmt.Errorf("the backend server answered status %d to a stream that goes on", rep.StatusCode)}
+	}
 	if c.route.Stream && rep.success() {
 		return f.deliverStream(ctx, c, rep, out)
 	}
