--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -176,7 +176,9 @@
 			out.head(rep, -1)
 		}
 		c.passed = true
-		passed++
+		if passed++; passed == paceEvents {
+			f.paced(c, rep, passed, time.Since(began), time.Now())
+		}
 		if id != "" {
 			c.lastEvent = id
 		}
@@ -194,22 +196,29 @@
 		out.head(rep, -1)
 	}
 	rep.finish(now)
-	f.wrote(c, rep, passed, now.Sub(began), now)
+	if passed < paceEvents {
+		f.paced(c, rep, passed, now.Sub(began), now)
+	}
+	if passed > 1 {
+		f.speeds.wrote(c.model, now.Sub(began)/time.Duration(passed-1))
+	}
 	f.ended(c, rep, now, nil)
 	return nil
 }
 
-// wrote learns from the pace of a whole stream.
-func (f *Forwarder) wrote(c *call, rep *reply, events int, took time.Duration, now time.Time) {
+// paceEvents is the number of events after which the pace of a stream is told. A slow version's
+// streams end too late to tell of it.
+const paceEvents = 8
+
+// paced tells the pace of a stream's first events, or of all if it has fewer.
+func (f *Forwarder) paced(c *call, rep *reply, events int, took time.Duration, now time.Time) {
 	if events < 2 {
 		return
 	}
-	between := took / time.Duration(events-1)
-	f.speeds.wrote(c.model, between)
 	o := f.outcome(c, rep.peer, false, now)
-	o.First, o.Between = 0, between
+	o.First, o.Between = 0, took/time.Duration(events-1)
 	f.cfg.Versions.Observe(o, now)
-	f.cfg.Meter.Between(c.org, model.ClassID(c.route.Route), between)
+	f.cfg.Meter.Between(c.org, model.ClassID(c.route.Route), o.Between)
 }
 
 var errGap = errors.New("an event of the stream is missing")
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,7 +79,7 @@
 	Failed bool
 	// First is the time from sending the request to the answer's head.
 	First time.Duration
-	// Between is the mean time between the events of a whole stream. It is told by an outcome of
+	// Between is the mean time between the first events of a stream. It is told by an outcome of
 	// its own, after the one of the answer's head.
 	Between time.Duration
 }
