Share one pause; read stored stages and lapses once, not with each request

- The pause that ends with a context stood in agent, router, watcher and recorder, and follower had added a fifth: all call pauser.Pause.
- A roll-out's stored stage was decoded with each choice of a version, and one that cannot be read was logged each time; it is read once a revision.
- Each look at the backend servers went through all rows for one that lapsed; the table keeps the earliest lapse.
- Two inputs of picker that nothing read are gone; a comment of the exchange said more than the code does.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/recorder"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/internal/watcher"
@@ -144,16 +145,9 @@
 		if a.runs.idle() && a.cfg.Ledger.Waiting() == 0 {
 			break
 		}
-		sleep(ctx, 20*time.Millisecond)
+		pauser.Pause(ctx, 20*time.Millisecond)
 	}
 	a.reportUnacknowledged(time.Now().Add(unacknowledgedAfter))
 	a.cfg.Ledger.Flush(ctx)
 	a.cfg.Log.Info().Msg("agent: left")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/agent/billing.go
+++ b/internal/agent/billing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -19,7 +20,7 @@
 		now := time.Now()
 		a.reportUnacknowledged(now)
 		a.runs.sweep(now)
-		sleep(ctx, sweepEvery)
+		pauser.Pause(ctx, sweepEvery)
 	}
 }
 
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/registrar"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -31,7 +32,7 @@
 func (a *Agent) probe(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.probeOnce(ctx)
-		sleep(ctx, probeEvery)
+		pauser.Pause(ctx, probeEvery)
 	}
 }
 
@@ -133,7 +134,7 @@
 		if err != nil {
 			return true
 		}
-		sleep(a.stop, deathPause)
+		pauser.Pause(a.stop, deathPause)
 	}
 	return false
 }
@@ -169,7 +170,7 @@
 		}
 		a.cfg.Log.Warn().Err(err).Msg("agent: crash report failed")
 	}
-	sleep(a.stop, crashPause)
+	pauser.Pause(a.stop, crashPause)
 }
 
 // suspected reports whether the request was running at a crash and must run alone.
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/watcher"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -34,7 +35,7 @@
 		if err := a.reconcileOnce(ctx, time.Now()); err != nil {
 			a.cfg.Log.Warn().Err(err).Msg("agent: order failed, will try again")
 		}
-		sleep(ctx, reconcileEvery)
+		pauser.Pause(ctx, reconcileEvery)
 	}
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -147,7 +148,7 @@
 		case err == nil && listing.Revision < from:
 			// An answer from before what is known already: a stale read.
 			f.count(s, "stale")
-			sleep(ctx, pause)
+			pauser.Pause(ctx, pause)
 			continue
 		case storer.IsKind(err, storer.KindCompacted):
 			f.cfg.Log.Info().Str("kind", s.kind).Int64("from", int64(from)).Msg("follower: the store forgot the history, listing again")
@@ -167,7 +168,7 @@
 					f.interrupt()
 				}
 			}
-			sleep(ctx, pause/2+rand.N(pause))
+			pauser.Pause(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, s.pause)
 			if s.confirm == nil {
 				f.awaitStore(ctx)
@@ -190,7 +191,7 @@
 			s.confirm(sent, answered)
 		}
 		if len(listing.Objects) > 0 {
-			sleep(ctx, s.gap)
+			pauser.Pause(ctx, s.gap)
 		}
 	}
 }
@@ -410,12 +411,3 @@
 	o, ok := f.marks[key]
 	return o, ok
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/follower/servers.go
+++ b/internal/follower/servers.go
@@ -25,6 +25,8 @@
 	rows map[string]listed
 	// regained is when the store came back from its last outage.
 	regained time.Time
+	// lapses is the earliest time at which a row lapses, zero if none does.
+	lapses   time.Time
 	services map[model.ServiceID][]model.BackendServer
 }
 
@@ -48,12 +50,7 @@
 }
 
 func (t *serverTable) expired(now time.Time) bool {
-	for _, r := range t.rows {
-		if !r.lapses.IsZero() && now.After(r.lapses) {
-			return true
-		}
-	}
-	return false
+	return !t.lapses.IsZero() && now.After(t.lapses)
 }
 
 func (f *Follower) expire(now time.Time) {
@@ -134,10 +131,14 @@
 		Str("version", string(s.Version)).Str("domain", string(s.Place.Domain)).Int64("born", s.Born).Msg(msg)
 }
 
-// index groups the usable rows by service. Readers hold the old slices, so new ones are made.
+// index groups the usable rows by service and finds the next one to lapse. Readers hold the old slices, so new ones are made.
 func (t *serverTable) index() {
 	services := make(map[model.ServiceID][]model.BackendServer, len(t.services))
+	t.lapses = time.Time{}
 	for _, r := range t.rows {
+		if !r.lapses.IsZero() && (t.lapses.IsZero() || r.lapses.Before(t.lapses)) {
+			t.lapses = r.lapses
+		}
 		if !r.bad {
 			services[r.server.Service] = append(services[r.server.Service], r.server)
 		}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -119,7 +119,8 @@
 		resp, err := http.ReadResponse(rep.conn.r, &http.Request{Method: c.method})
 		if err != nil {
 			fail := broken(ctx, err)
-			// ReadResponse peeks first, so no byte of an answer was read if none is buffered.
+			// A connection that idled and breaks at once was most likely dropped before; a request
+			// that may run twice is sent again even if it was not.
 			fail.dropped = rep.conn.reused && fail.fate == fateBroken && foreign == 0 && time.Since(c.began) < dropLimit
 			return fail
 		}
--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -32,7 +32,7 @@
 }
 
 func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
-	in := picker.DirectInput{Self: f.cfg.Settings.Place, Dice: rand.Float64(), Now: now, Excluded: map[model.BackendID]bool{}}
+	in := picker.DirectInput{Self: f.cfg.Settings.Place, Dice: rand.Float64(), Excluded: map[model.BackendID]bool{}}
 	for _, s := range servers {
 		b, cut := f.peers.get(s, now).view(s, f.others(s.Backend, now), now)
 		in.Excluded[s.Backend] = cut
@@ -53,7 +53,7 @@
 
 // weighEngines returns the engine that the call's prompt should go to with a model.
 func (f *Forwarder) weighEngines(c *call, m model.ModelID, servers []model.BackendServer, now time.Time) (picker.EngineChoice, picker.EngineInput) {
-	in := picker.EngineInput{Self: f.cfg.Settings.Place, Memory: c.memory(m), Now: now, Excluded: map[model.BackendID]bool{}}
+	in := picker.EngineInput{Self: f.cfg.Settings.Place, Memory: c.memory(m), Excluded: map[model.BackendID]bool{}}
 	in.Read, in.Shared = f.speeds.times(m, c.service.Engine, c.prompt)
 	if len(c.route.Models) > 1 {
 		in.Small = m == c.route.Models[0]
--- a/internal/picker/direct.go
+++ b/internal/picker/direct.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -23,7 +22,6 @@
 	Self     model.Place
 	Excluded map[model.BackendID]bool
 	Dice     float64
-	Now      time.Time
 }
 
 // DirectChoice is the chosen backend server, or none, with the load that decided.
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -57,7 +57,6 @@
 	// Read is the time to read the whole prompt, Shared that for its shared parts.
 	Read, Shared time.Duration
 	Excluded     map[model.BackendID]bool
-	Now          time.Time
 }
 
 // EngineChoice is the chosen engine, or none, with the figures that decided.
--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/registrar"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -168,10 +169,10 @@
 		case <-c.wake:
 		}
 		if !c.Flush(ctx) {
-			sleep(ctx, usageRetry)
+			pauser.Pause(ctx, usageRetry)
 			c.signal()
 		}
-		sleep(ctx, usageEvery)
+		pauser.Pause(ctx, usageEvery)
 	}
 }
 
@@ -233,10 +234,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/explainer"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -226,7 +227,7 @@
 		if c.ctx.Err() != nil || tries >= resumeTries || errors.Is(err, messenger.ErrNotKept) {
 			return nil, e.settle(c, s, t), nil
 		}
-		pause(c.ctx, resumePause<<min(tries, 4))
+		pauser.Pause(c.ctx, resumePause<<min(tries, 4))
 		in := messenger.ResumeRequest{Request: s.id, From: asm.Next(), Boot: t.boot}
 		reader, err = e.cfg.Work.Resume(ctx, t.instance.Work, in)
 	}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -8,6 +8,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/explainer"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/recorder"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -143,7 +144,7 @@
 		if run == model.RunNo {
 			return e.takeOver(c, key, held.Record, d, w)
 		}
-		pause(c.ctx, attachPoll)
+		pauser.Pause(c.ctx, attachPoll)
 		if c.ctx.Err() != nil {
 			return model.Refuse(model.KindKeyHeld, "the first request with this key has no known answer: try again with the same key").WithRun(model.RunUnknown).WithRetry(time.Second)
 		}
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -21,6 +21,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/owner"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/recorder"
 	"github.com/bramleyhinge/bramleyhinge/internal/signer"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
@@ -128,7 +129,7 @@
 func (e *Entry) drain(ctx context.Context, server *http.Server) {
 	e.leaving.Store(true)
 	e.cfg.Log.Info().Msg("entry: leaving, no longer ready")
-	pause(ctx, e.cfg.Settings.Drain.Lag)
+	pauser.Pause(ctx, e.cfg.Settings.Drain.Lag)
 	shutdown, cancel := context.WithTimeout(ctx, e.cfg.Settings.Drain.Grace)
 	defer cancel()
 	if err := server.Shutdown(shutdown); err != nil {
@@ -137,7 +138,7 @@
 	e.cfg.Owner.Resign(ctx)
 	for e.cfg.Records.Waiting() > 0 && shutdown.Err() == nil {
 		e.cfg.Records.Flush(shutdown)
-		pause(shutdown, 50*time.Millisecond)
+		pauser.Pause(shutdown, 50*time.Millisecond)
 	}
 	e.acks.flush(shutdown)
 	e.cfg.Log.Info().Msg("entry: left")
@@ -148,13 +149,6 @@
 	return !e.leaving.Load() && e.cfg.Watcher.Ready() && e.fleet.settled() && e.cfg.Watcher.Standing(now) != watcher.StandingCutOff
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // limitListener bounds the connections that callers may hold.
 type limitListener struct {
 	net.Listener
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/breaker"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
 	"github.com/bramleyhinge/bramleyhinge/internal/watcher"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -62,7 +63,7 @@
 func (f *fleet) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		f.update(ctx, time.Now())
-		pause(ctx, fleetEvery)
+		pauser.Pause(ctx, fleetEvery)
 	}
 }
 
@@ -119,7 +120,7 @@
 			}
 			p.lost()
 			f.cfg.Pool.Drop(addr)
-			pause(ctx, fleetEvery+rand.N(fleetEvery))
+			pauser.Pause(ctx, fleetEvery+rand.N(fleetEvery))
 			continue
 		}
 		seq = load.Seq
--- a/internal/router/tally.go
+++ b/internal/router/tally.go
@@ -8,6 +8,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -127,7 +128,7 @@
 	for ctx.Err() == nil {
 		entries := len(e.cfg.Watcher.View().Entries())
 		interval := max(reportEvery, time.Duration(entries)*time.Second/reportsPerOwner)
-		pause(ctx, interval)
+		pauser.Pause(ctx, interval)
 		for id, s := range e.cfg.Watcher.Catalogue().Services {
 			if s.Document != nil {
 				e.report(ctx, id, interval)
--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -10,6 +10,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -91,7 +92,7 @@
 
 func (q *ackQueue) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, ackEvery)
+		pauser.Pause(ctx, ackEvery)
 		q.flush(ctx)
 	}
 }
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -70,6 +70,8 @@
 	// base is the version that served before.
 	base  model.VersionID
 	stage int
+	// marked is the revision of the stored stage that was read last.
+	marked model.Revision
 	// since is when the stage was first seen.
 	since  time.Time
 	judge  *judge
@@ -122,7 +124,12 @@
 		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Str("base", string(r.base)).Msg("shifter: roll-out begins")
 	}
 	r.order = o
-	if m, _, ok := s.mark(o); ok && m.Stage > r.stage && m.Stage < len(stages) {
+	if stored, ok := s.cfg.Belief.Mark(s.markKey(service)); !ok || stored.Revision == r.marked {
+		return r
+	}
+	m, revision, ok := s.mark(o)
+	r.marked = revision
+	if ok && m.Stage > r.stage && m.Stage < len(stages) {
 		r.stage, r.since = m.Stage, now
 		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Int("stage", r.stage).
 			Float64("share", stages[r.stage].share).Msg("shifter: stage")
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/registrar"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -122,7 +123,7 @@
 		}
 		if w.feed.Confirmed().IsZero() {
 			// Many processes may start at once while the platform is down.
-			pause(ctx, wait/2+rand.N(wait))
+			pauser.Pause(ctx, wait/2+rand.N(wait))
 			wait = min(2*wait, maxRetryPause)
 			continue
 		}
@@ -135,7 +136,7 @@
 func (w *Watcher) plan(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.planOnce(ctx, time.Now())
-		pause(ctx, plannerEvery+rand.N(plannerEvery))
+		pauser.Pause(ctx, plannerEvery+rand.N(plannerEvery))
 	}
 }
 
@@ -183,7 +184,7 @@
 		if err := w.pollOnce(ctx, source.Control, source.Place.Region, pollWait); err != nil && ctx.Err() == nil {
 			w.cfg.Log.Debug().Err(err).Str("source", string(source.Instance)).Msg("watcher: source did not answer")
 			w.cfg.Pool.Drop(source.Control)
-			pause(ctx, retryPause+rand.N(retryPause))
+			pauser.Pause(ctx, retryPause+rand.N(retryPause))
 		}
 	}
 }
@@ -240,12 +241,12 @@
 func (w *Watcher) whileRelay(ctx context.Context, step func(ctx context.Context) error) {
 	for ctx.Err() == nil {
 		if !w.Ready() || !w.View().IsRelay(w.cfg.Self) {
-			pause(ctx, plannerEvery)
+			pauser.Pause(ctx, plannerEvery)
 			continue
 		}
 		if err := step(ctx); err != nil && ctx.Err() == nil {
 			w.cfg.Log.Debug().Err(err).Msg("watcher: platform did not answer")
-			pause(ctx, retryPause+rand.N(retryPause))
+			pauser.Pause(ctx, retryPause+rand.N(retryPause))
 		}
 	}
 }
@@ -263,7 +264,7 @@
 			relays += len(w.View().Relays(region))
 		}
 		turn := interval * time.Duration(max(1, relays-freeReaders+1))
-		pause(ctx, turn-turn/4+rand.N(turn/2))
+		pauser.Pause(ctx, turn-turn/4+rand.N(turn/2))
 		return err
 	}
 }
@@ -357,10 +358,3 @@
 	}
 	return messenger.PollReply{Objects: b.Objects, Feed: b.cursor.feed, Seq: b.cursor.seq, Newest: b.Newest, Age: age, Held: now.Sub(start), Instances: delta}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
