Count slow streams of a new version instead of weighing their mean

Times of heads and of streams shared one test with one mean and one spread.

Change: streams are counted apart: slow from 1.5 times the usual time at the load of their engine (a line fitted to the old version's), a third of slow ones is looked for. The guard takes the rates that are looked for, the usual rate and the span of false alarms as settings. A completion comes one second before the end of the order's time: one that came 0.36 s before it was not seen in time.

The case 'streams that are twice as slow do not stop it' was wrong: at a trial's share twice as slow means four times as slow on idle engines. In its place: twice as slow stops, 1.4 times as slow does not, nor do good streams on idle engines.

--- a/internal/forwarder/place.go
+++ b/internal/forwarder/place.go
@@ -45,7 +45,7 @@
 	if !choice.Found {
 		return nil, false
 	}
-	c.read = 0
+	c.read, c.busy = 0, choice.Busy
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Float64("load", choice.Load).Int("open", choice.Open).Int("sent", c.sent).Msg("forwarder: placed")
 	return f.peers.get(choice.Server, now), true
@@ -79,6 +79,7 @@
 	if choice.Kept {
 		c.read, c.unread = in.Read-in.Shared, c.prompt.tokens-c.prompt.sharedTokens
 	}
+	c.busy = choice.Busy
 	c.alone = choice.Wait-c.read < aloneWait
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Str("model", string(c.model)).Str("session", c.session).Dur("wait", choice.Wait).Dur("read", c.read).Bool("kept", choice.Kept).
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -49,6 +49,8 @@
 	// that it did not have to wait for others.
 	read  time.Duration
 	alone bool
+	// busy is the number of requests that ran or waited there when it was chosen.
+	busy int
 	// unread is the number of prompt tokens that are not kept there.
 	unread int
 	// anew asks for a new connection, after one that had idled was dropped; again is set once the
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,8 +12,9 @@
 const (
 	// falseAlarm is the tolerated chance that a good roll-out is stopped.
 	falseAlarm = 1.0 / 200
-	// span is the number of requests over which the chance of a false alarm is counted.
-	span = 20_000
+	// usualSpan is the number of requests over which the chance of a false alarm is counted, unless the
+	// settings name another.
+	usualSpan = 20_000
 	// minControl is the number of outcomes of the old version needed before means are
 	// compared.
 	minControl = 50
@@ -27,17 +28,19 @@
 )
 
 // Alternatives that each test looks for: failure rates, drops of the mean rating, and
-// factors of the first-token time.
+// factors of the first-token time. BadFailures are those of a usual service.
 var (
-	badFailures = []float64{0.06, 0.25, 0.7}
+	BadFailures = []float64{0.06, 0.25, 0.7}
 	badDrops    = []float64{0.06, 0.15, 0.35}
 	badFactors  = []float64{1.5, 2.5, 6}
 )
 
-// threshold is the level of a cumulative sum (CUSUM; Page, 1954) at which a version is
-// bad. A sum of log-likelihood ratios passes h within n steps with a chance of at most
-// n*exp(-h); all tests share the tolerated chance.
-var threshold = math.Log(span / falseAlarm * float64(len(badFailures)+len(badDrops)+len(badFactors)) / correction)
+// threshold returns the level of a cumulative sum (CUSUM; Page, 1954) at which a version is bad.
+// A sum of log-likelihood ratios passes h within n steps with a chance of at most n*exp(-h); all
+// tests share the tolerated chance.
+func threshold(span, tests int) float64 {
+	return math.Log(float64(span) / falseAlarm * float64(tests) / correction)
+}
 
 // correction allows for the overlap of excursions, which makes the plain bound loose.
 const correction = 100
@@ -51,8 +54,16 @@
 
 // Config tunes a Guard.
 type Config struct {
+	// Failures are the failure rates that are looked for; none skips the test.
+	Failures []float64
+	// FloorFailure is the lowest failure rate that is taken of a healthy version; 0 stands for the usual
+	// one.
+	FloorFailure float64
 	// Factors are the factors of the first-token time that are looked for; none skips the test.
 	Factors []float64
+	// Span is the number of outcomes over which the chance of a false alarm is counted; 0 stands for the
+	// usual one.
+	Span int
 	// LogVariance is the least variance that is taken of the logarithm of the first-token time.
 	LogVariance float64
 }
@@ -60,6 +71,7 @@
 // Guard compares one version with another from their tallies.
 type Guard struct {
 	cfg     Config
+	limit   float64
 	control control
 	fails   []float64
 	drops   []float64
@@ -69,14 +81,21 @@
 
 // New returns a guard that has seen nothing.
 func New() *Guard {
-	return NewWith(Config{Factors: badFactors, LogVariance: minLogVariance})
+	return NewWith(Config{Failures: BadFailures, Factors: badFactors, LogVariance: minLogVariance})
 }
 
 // NewWith returns a guard that looks for other slowness.
 func NewWith(cfg Config) *Guard {
+	if cfg.Span == 0 {
+		cfg.Span = usualSpan
+	}
+	if cfg.FloorFailure == 0 {
+		cfg.FloorFailure = floorFailure
+	}
 	return &Guard{
 		cfg:   cfg,
-		fails: make([]float64, len(badFailures)),
+		limit: threshold(cfg.Span, len(cfg.Failures)+len(badDrops)+len(cfg.Factors)),
+		fails: make([]float64, len(cfg.Failures)),
 		drops: make([]float64, len(badDrops)),
 		slows: make([]float64, len(cfg.Factors)),
 	}
@@ -106,7 +125,7 @@
 	v := Verdict{Reason: "nothing speaks against it"}
 	for _, test := range tests {
 		for _, s := range test.sums {
-			if level := s / threshold; level > v.Level {
+			if level := s / g.limit; level > v.Level {
 				v.Level, v.Reason = level, fmt.Sprintf("%s than the version beside it", test.name)
 			}
 		}
@@ -116,8 +135,8 @@
 }
 
 func (g *Guard) failures(t model.Tally) {
-	ok := g.control.failure()
-	for i, bad := range badFailures {
+	ok := g.control.failure(g.cfg.FloorFailure)
+	for i, bad := range g.cfg.Failures {
 		bad = math.Max(bad, math.Min(0.95, 3*ok))
 		if bad <= ok {
 			continue
@@ -170,8 +189,8 @@
 }
 
 // failure estimates the old version's failure rate, not below a floor.
-func (c *control) failure() float64 {
-	return math.Max(floorFailure, (c.failed+floorFailure*minControl)/(c.requests+minControl))
+func (c *control) failure(floor float64) float64 {
+	return math.Max(floor, (c.failed+floor*minControl)/(c.requests+minControl))
 }
 
 // moments sums a quantity for its mean and variance.
--- a/internal/picker/direct.go
+++ b/internal/picker/direct.go
@@ -29,7 +29,9 @@
 	Server model.BackendServer
 	Found  bool
 	Load   float64
-	Open   int
+	// Busy is the number of requests that run or wait there.
+	Busy int
+	Open int
 }
 
 // LeastLoaded picks a backend server of a plain service without an agent in between.
@@ -59,19 +61,20 @@
 			best = b
 		}
 	}
-	return DirectChoice{Server: best.Server, Found: true, Load: load(best), Open: len(open)}
+	return DirectChoice{Server: best.Server, Found: true, Load: load(best), Busy: busy(best), Open: len(open)}
 }
 
 // load estimates how busy a backend server is; 1 means that all its slots are taken.
 func load(b Backend) float64 {
-	busy := float64(max(b.Open, b.Running+b.Waiting+b.Sent-b.Done))
-	u := busy / float64(max(b.Server.Slots, 1))
+	u := float64(busy(b)) / float64(max(b.Server.Slots, 1))
 	if b.Server.Cold > 0 {
 		u += coldLoad
 	}
 	return u
 }
 
+func busy(b Backend) int { return max(b.Open, b.Running+b.Waiting+b.Sent-b.Done) }
+
 func distance(b Backend, self model.Place) float64 {
 	switch {
 	case b.Server.Place.Region != self.Region:
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -15,31 +15,35 @@
 	// a single bad server is no bad version.
 	minServers  = 2
 	serverShare = 0.3
-	// baseWeight smooths the old version's time to an answer's head.
-	baseWeight = 0.05
-	// slowFactor is the slowness that is looked for, and from when on a head counts as late for
-	// its kind of request. Smaller factors come from cold memory and from load.
+	// slowFactor is the slowness of an answer's head that is looked for. Smaller factors come from cold
+	// memory and from load.
 	slowFactor = 4.0
 	// headVariance is the least variance of the logarithm of the time to an answer's head, whose
 	// spread comes from prompts of unlike size.
 	headVariance = 0.5
+	// paceFactor is the slowness of a stream from which on it counts as slow. The engines of a version
+	// that gets few requests are idle, so that the streams of a good one are half as slow as those beside
+	// it, and those of one that is four times as slow are about twice as slow.
+	paceFactor = 1.5
+	// slowStreams is the part of slow streams that is looked for, since versions may slow a part of their
+	// streams only; usualSlow is the part that any version is taken to have, since prompts that are read
+	// hold streams up.
+	slowStreams = 0.3
+	usualSlow   = 0.08
+	// trialStreams is the number of streams of a trial, over which the chance of a false alarm is
+	// counted.
+	trialStreams = 2000
 )
 
 // judge weighs a new version's outcomes against those of the others.
 type judge struct {
+	// guard weighs failures and the times to an answer's head, pace counts slow streams.
 	guard   *guard.Guard
-	bases   map[baseKey]float64
+	pace    *guard.Guard
+	bases   map[baseKey]*base
 	servers map[model.BackendID]record
 }
 
-// baseKey groups requests whose answers take about as long.
-type baseKey struct {
-	route model.RouteID
-	model model.ModelID
-	// between tells times between events from those to an answer's head.
-	between bool
-}
-
 // record counts one backend server's outcomes.
 type record struct {
 	Asked  int `json:"asked"`
@@ -52,31 +56,28 @@
 }
 
 func newJudge() *judge {
-	return &judge{guard: guard.NewWith(guard.Config{Factors: []float64{slowFactor}, LogVariance: headVariance}), bases: map[baseKey]float64{}, servers: map[model.BackendID]record{}}
+	return &judge{
+		guard: guard.NewWith(guard.Config{Failures: guard.BadFailures, Factors: []float64{slowFactor}, LogVariance: headVariance}),
+		pace:  guard.NewWith(guard.Config{Failures: []float64{slowStreams}, FloorFailure: usualSlow, Span: trialStreams}),
+		bases: map[baseKey]*base{}, servers: map[model.BackendID]record{},
+	}
 }
 
 // control takes an outcome of another version.
 func (j *judge) control(o forwarder.Outcome) {
-	var t model.Tally
-	if o.Between == 0 {
-		t.Requests = 1
-	}
-	if o.Failed {
-		t.Failures = 1
-	} else if r, ok := j.relative(o); ok {
-		t.Timed, t.LogFirst, t.LogFirst2 = 1, r, r*r
-	}
-	j.guard.Control(t)
+	e := j.weigh(o, true)
+	j.guard.Control(e.Tally)
+	j.pace.Control(e.Pace)
 	key, took := timed(o)
 	if o.Failed || took <= 0 {
 		return
 	}
-	log := math.Log(took.Seconds())
-	base, ok := j.bases[key]
-	if !ok {
-		base = log
+	b := j.bases[key]
+	if b == nil {
+		b = &base{}
+		j.bases[key] = b
 	}
-	j.bases[key] = base + (log-base)*baseWeight
+	b.learn(float64(o.Busy), took.Seconds())
 }
 
 // timed returns the time that an outcome tells, and the kind of time.
@@ -90,45 +91,55 @@
 // relative returns the logarithm of an outcome's time over the old version's usual one.
 func (j *judge) relative(o forwarder.Outcome) (float64, bool) {
 	key, took := timed(o)
-	base, ok := j.bases[key]
-	if !ok || took <= 0 {
+	b := j.bases[key]
+	if b == nil || took <= 0 {
 		return 0, false
 	}
-	return math.Log(took.Seconds()) - base, true
+	return math.Log(took.Seconds() / b.at(float64(o.Busy))), true
 }
 
-// evidence is what a number of outcomes of the new version tell.
+// evidence is what a number of outcomes of one version tell.
 type evidence struct {
-	Tally   model.Tally                `json:"tally"`
+	Tally model.Tally `json:"tally"`
+	// Pace counts streams, and slow ones as failures.
+	Pace    model.Tally                `json:"pace"`
 	Servers map[model.BackendID]record `json:"servers"`
 }
 
-// weigh returns what an outcome of the new version tells. Its times count only while another
-// version runs beside it, since load slows both.
+// weigh returns what an outcome tells. Its times count only while another version runs beside it,
+// since load slows both.
 func (j *judge) weigh(o forwarder.Outcome, beside bool) evidence {
-	var t model.Tally
+	var e evidence
 	var s record
-	if o.Between == 0 {
-		t.Requests, s.Asked = 1, 1
-	}
-	if o.Failed {
-		t.Failures, s.Failed = 1, 1
-	} else if r, ok := j.relative(o); ok && beside {
-		t.Timed, t.LogFirst, t.LogFirst2 = 1, r, r*r
-		if r > math.Log(slowFactor) {
+	r, ok := j.relative(o)
+	ok = ok && beside && !o.Failed
+	switch {
+	case o.Between > 0 && ok:
+		e.Pace.Requests = 1
+		if r > math.Log(paceFactor) {
+			e.Pace.Failures, s.Slow = 1, 1
+		}
+	case o.Between > 0:
+	case o.Failed:
+		e.Tally.Requests, s.Asked = 1, 1
+		e.Tally.Failures, s.Failed = 1, 1
+	default:
+		e.Tally.Requests, s.Asked = 1, 1
+		if ok {
+			e.Tally.Timed, e.Tally.LogFirst, e.Tally.LogFirst2 = 1, r, r*r
+		}
+		if ok && r > math.Log(slowFactor) {
 			s.Slow = 1
 		}
 	}
-	return evidence{Tally: t, Servers: map[model.BackendID]record{o.Backend: s}}
+	e.Servers = map[model.BackendID]record{o.Backend: s}
+	return e
 }
 
 // add sums evidence.
 func (e *evidence) add(more evidence) {
-	e.Tally.Requests += more.Tally.Requests
-	e.Tally.Failures += more.Tally.Failures
-	e.Tally.Timed += more.Tally.Timed
-	e.Tally.LogFirst += more.Tally.LogFirst
-	e.Tally.LogFirst2 += more.Tally.LogFirst2
+	e.Tally = e.Tally.Add(more.Tally)
+	e.Pace = e.Pace.Add(more.Pace)
 	if e.Servers == nil {
 		e.Servers = map[model.BackendID]record{}
 	}
@@ -143,6 +154,10 @@
 		j.servers[id] = j.servers[id].plus(r)
 	}
 	v := j.guard.Observe(e.Tally)
+	if p := j.pace.Observe(e.Pace); p.Level > v.Level {
+		v = p
+		v.Reason = "its streams are slower than those of the version beside it"
+	}
 	v.Bad = v.Bad && j.widespread()
 	return v
 }
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -34,9 +34,9 @@
 	// exposurePart is the part of the exposure bound that is planned for; the rest is for traffic that
 	// rises at the end of the order's time.
 	exposurePart = 0.9
-	// completeLead is how long before the end of the order's time the version is reported as completed,
-	// besides the spread of writes: a write whose answer was lost is repeated once.
-	completeLead = 2*tick + writePause
+	// completeLead is how long before the end of the order's time the version is reported as completed:
+	// a write whose answer was lost is repeated once, and who gave the order looks at it now and then.
+	completeLead = time.Second
 	// leastDrain is how long the old version's streams have at least, if the new version takes all too
 	// late to be completed in time.
 	leastDrain = 2 * time.Second
@@ -59,8 +59,7 @@
 		exposure = defaultExposure
 	}
 	budget := exposurePart * exposure
-	lead := completeLead + time.Duration(spread*float64(within))
-	least := min(float64(lead)/float64(max(within, 1)), budget)
+	least := min(float64(completeLead)/float64(max(within, 1)), budget)
 	s := schedule{rest: restShare, trial: trialPart * exposure}
 	full := (budget - s.rest*trialFrom - s.trial*(1-trialFrom)) / (1 - s.trial)
 	if full < least {
@@ -70,7 +69,7 @@
 	}
 	s.trialAt = time.Duration(trialFrom * float64(within))
 	s.allAt = within - time.Duration(full*float64(within))
-	s.doneAt = max(within-lead, s.allAt)
+	s.doneAt = max(within-completeLead, s.allAt)
 	return s
 }
 
@@ -180,12 +179,15 @@
 	return best
 }
 
-// spread is the part of an order's time over which entries spread their writes.
-const spread = 0.015
+// spread is the part of an order's time over which entries spread their writes, maxSpread the most.
+const (
+	spread    = 0.015
+	maxSpread = 200 * time.Millisecond
+)
 
 // turn returns how long an entry waits beyond the time of a write, so that one write suffices in
 // most cases.
 func turn(self model.InstanceID, n stage, within time.Duration) time.Duration {
 	at := float64(xxhash.Sum64String(string(self)+string(rune('0'+n)))>>11) / (1 << 53)
-	return time.Duration(at * spread * float64(within))
+	return time.Duration(at * min(spread*float64(within), float64(maxSpread)))
 }
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -208,7 +208,7 @@
 	defer s.mu.Unlock()
 	var out [][]byte
 	for service, r := range s.rolls {
-		if r.news.Tally.Requests+r.news.Tally.Timed == 0 || r.stage >= stageAll && r.news.Tally.Failures == 0 {
+		if r.news.Tally.Requests+r.news.Pace.Requests == 0 || r.stage >= stageAll && r.news.Tally.Failures == 0 {
 			// At full share each entry sees enough; only failures are worth a message.
 			continue
 		}
@@ -284,7 +284,7 @@
 		return deedNone
 	case r.stage < stageAll:
 		return deedStage
-	case r.elapsed > r.schedule.doneAt && now.Sub(r.since) < leastDrain:
+	case r.elapsed > r.order.Within-2*tick && now.Sub(r.since) < leastDrain:
 		return deedNone
 	}
 	return deedComplete
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -170,7 +171,12 @@
 		Every   int
 		Ms      int
 		Pace    int
-		Alone   bool
+		// Jitter spreads times evenly on a logarithmic scale, by so much to either side.
+		Jitter float64
+		// Load is the range of requests at the backend servers; each adds Crowd ms to the pace.
+		Load  [2]int
+		Crowd int
+		Alone bool
 	}
 	type verdictCase struct {
 		Name   string
@@ -183,13 +189,14 @@
 			bad := false
 			for _, p := range c.Phases {
 				for i := range p.N {
+					jitter := math.Exp(p.Jitter * (2*float64(i*7%10)/9 - 1))
 					o := forwarder.Outcome{
 						Backend: model.BackendID(fmt.Sprint("b", i%max(p.Servers, 1))), Route: "r", Model: "m",
-						Failed: p.Every > 0 && i%p.Every == 0, First: time.Duration(p.Ms) * time.Millisecond,
+						Busy: p.Load[0] + i*3%(p.Load[1]-p.Load[0]+1), Failed: p.Every > 0 && i%p.Every == 0, First: time.Duration(float64(p.Ms) * jitter * float64(time.Millisecond)),
 					}
 					outcomes := []forwarder.Outcome{o}
 					if p.Pace > 0 {
-						o.First, o.Between = 0, time.Duration(p.Pace)*time.Millisecond
+						o.First, o.Between = 0, time.Duration(float64(p.Pace+p.Crowd*o.Busy)*jitter*float64(time.Millisecond))
 						outcomes = append(outcomes, o)
 					}
 					for _, o := range outcomes {
