Ask for all kinds when the history is gone; let a version wait for its order

The watches of roll-outs and marks were neither answered nor cut and waited out their 20 s, so an order of 2.0 s was seen at 11.7 s.

Change: a watch that finds the history gone ends all others, which ask at once. A version that was first seen within five seconds gets nothing without an order as long as another one is ready. Tests: TestDeafWatch failed before, TestUnordered.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -80,23 +81,26 @@
 	marks     map[string]storer.Object
 	listed    map[string]bool
 	onMark    []func(storer.Object)
-	// interrupted is closed and replaced when the store is lost.
-	interrupted chan struct{}
+	// interrupted ends all watches; it is replaced when the store is lost or its history is gone.
+	interrupted context.Context
+	interrupt   context.CancelCauseFunc
+	// forgot is when the history was last found to be gone.
+	forgot time.Time
 	// away is closed when the store is regained, and nil while it answers.
 	away chan struct{}
 }
 
 // New returns a follower that has read nothing.
 func New(cfg Config) *Follower {
-	return &Follower{
+	f := &Follower{
 		cfg:     cfg,
 		servers: newServerTable(),
 		orders:  map[model.ServiceID]model.RolloutOrder{},
 		marks:   map[string]storer.Object{},
 		listed:  map[string]bool{},
-
-		interrupted: make(chan struct{}),
 	}
+	f.interrupted, f.interrupt = context.WithCancelCause(context.Background())
+	return f
 }
 
 // Run follows all kinds until the context ends.
@@ -139,10 +143,11 @@
 func (f *Follower) follow(ctx context.Context, s stream) {
 	var from model.Revision
 	var lostAt time.Time
-	full, pause := true, firstPause
+	full, asked, pause := true, false, firstPause
 	for ctx.Err() == nil {
 		sent := f.cfg.Clock()
-		listing, err := f.read(ctx, s, from, full, !lostAt.IsZero())
+		listing, err := f.read(ctx, s, from, full, asked || !lostAt.IsZero())
+		asked = false
 		now, answered := time.Now(), f.cfg.Clock()
 		switch {
 		case err == nil && listing.Revision < from:
@@ -154,6 +159,10 @@
 			f.cfg.Log.Info().Str("kind", s.kind).Int64("from", int64(from)).Msg("follower: the store forgot the history, listing again")
 			f.count(s, "compacted")
 			full = true
+			f.forget(now)
+			continue
+		case errors.Is(err, errForgotten):
+			asked = true
 			continue
 		case err != nil:
 			if ctx.Err() != nil {
@@ -165,7 +174,7 @@
 				f.cfg.Log.Warn().Err(err).Str("kind", s.kind).Int64("from", int64(from)).Msg("follower: store lost")
 				if s.confirm != nil {
 					f.setAway(true)
-					f.interrupt()
+					f.interruptAll(errLost)
 				}
 			}
 			pauser.Pause(ctx, pause/2+rand.N(pause))
@@ -226,39 +235,58 @@
 	}
 }
 
-// interrupt ends the watches of the other kinds, whose connections may be silent as well.
-func (f *Follower) interrupt() {
+// Causes for which a watch is ended before its time.
+var (
+	errLost      = errors.New("another watch found the store lost")
+	errForgotten = errors.New("another watch found the history gone")
+)
+
+// interruptAll ends all watches, whose connections may be silent.
+func (f *Follower) interruptAll(cause error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	close(f.interrupted)
-	f.interrupted = make(chan struct{})
+	f.interrupt(cause)
+	f.interrupted, f.interrupt = context.WithCancelCause(context.Background())
 }
 
-// watch waits for changes until the plan's watch finds that the store is lost.
-func (f *Follower) watch(ctx context.Context, s stream, from model.Revision) (storer.Listing, error) {
-	if s.confirm != nil {
-		return f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
+// forgetPause is the least time between two interruptions because the history is gone: all watches
+// find out at about the same time.
+const forgetPause = time.Second
+
+// forget lets all kinds ask at once, because the history is gone. It answers a store that drops its
+// history and leaves watches waiting that will hear nothing.
+func (f *Follower) forget(now time.Time) {
+	f.mu.Lock()
+	recent := now.Sub(f.forgot) < forgetPause
+	if !recent {
+		f.forgot = now
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	f.mu.Unlock()
+	if !recent {
+		f.interruptAll(errForgotten)
+	}
+}
+
+// watch waits for changes until another kind's watch finds that this one may hear nothing.
+func (f *Follower) watch(ctx context.Context, s stream, from model.Revision) (storer.Listing, error) {
 	f.mu.RLock()
 	interrupted := f.interrupted
 	f.mu.RUnlock()
-	go func() {
-		select {
-		case <-interrupted:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(interrupted, cancel)()
+	listing, err := f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
+	if cause := context.Cause(interrupted); err != nil && errors.Is(cause, errForgotten) {
+		return storer.Listing{}, cause
+	}
+	return listing, err
 }
 
-func (f *Follower) read(ctx context.Context, s stream, from model.Revision, full, lost bool) (storer.Listing, error) {
+func (f *Follower) read(ctx context.Context, s stream, from model.Revision, full, ask bool) (storer.Listing, error) {
 	switch {
 	case full:
 		return f.cfg.Store.List(ctx, s.kind)
-	case lost:
+	case ask:
 		return f.cfg.Store.Watch(ctx, s.kind, from, noWait)
 	}
 	return f.watch(ctx, s, from)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -192,3 +193,61 @@
 		}
 	}
 }
+
+// TestDeafWatch checks that an order whose event was lost with the history, while its watch hears
+// nothing and is not cut either, is found once any watch learns that the history is gone.
+func TestDeafWatch(t *testing.T) {
+	platform := standin.NewPlatform()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if _, err := platform.Put(ctx, "plans/main", []byte("1"), 0); err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	store := &deaf{Store: platform, compacted: make(chan struct{})}
+	f := newTestFollower(store, func() time.Duration { return time.Since(start) })
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	await(t, "the lists", 2*time.Second, f.Settled)
+	if _, err := platform.Put(ctx, "orders/svc", []byte("v2"), 0); err != nil {
+		t.Fatal(err)
+	}
+	close(store.compacted)
+	await(t, "the order whose event was lost", time.Second, func() bool {
+		o, ok := f.Order("svc")
+		return ok && o.Version == "v2"
+	})
+	cancel()
+	<-done
+}
+
+// deaf is a store that drops its history once: the watch of plans is told, all others that wait then
+// hear nothing any more.
+type deaf struct {
+	storer.Store
+	compacted chan struct{}
+	told      sync.Map
+}
+
+func (d *deaf) Watch(ctx context.Context, kind string, from model.Revision, wait time.Duration) (storer.Listing, error) {
+	if _, ok := d.told.Load(kind); ok {
+		return d.Store.Watch(ctx, kind, from, wait)
+	}
+	began := false
+	select {
+	case <-d.compacted:
+		began = true
+	default:
+	}
+	if kind != "plans" && !began {
+		<-ctx.Done()
+		return storer.Listing{}, ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return storer.Listing{}, ctx.Err()
+	case <-d.compacted:
+	}
+	d.told.Store(kind, true)
+	return storer.Listing{}, &storer.Error{Kind: storer.KindCompacted, Key: kind}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,10 +57,12 @@
 	Log   zerolog.Logger
 }
 
-// VersionAsk names the request that a version is chosen for; Session is empty if it has none.
+// VersionAsk names the request that a version is chosen for, and the service's backend servers.
 type VersionAsk struct {
-	Service          model.ServiceID
+	Service model.ServiceID
+	// Session is empty if the request has none.
 	Session, Request string
+	Servers          []model.BackendServer
 }
 
 // Versions decides which versions of a service may get a request and learns of outcomes.
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -146,6 +146,29 @@
 	return before
 }
 
+// orderLag is how long a version may be seen before the order that brings it in: a watch of the store
+// may hear nothing for a while.
+const orderLag = 5 * time.Second
+
+// chooseUnordered decides without a roll-out order: a version that was first seen just now gets
+// nothing as long as another one is ready. It answers backend servers that are heard of before the
+// order that they were started for.
+func chooseUnordered(servers []model.BackendServer, first map[model.VersionID]time.Time, now time.Time) Choice {
+	var fresh model.VersionID
+	settled := false
+	for _, b := range servers {
+		if now.Sub(first[b.Version]) < orderLag {
+			fresh = b.Version
+		} else if b.State == model.BackendReady {
+			settled = true
+		}
+	}
+	if !settled {
+		return Choice{}
+	}
+	return Choice{Except: fresh}
+}
+
 // baseInput is what the version that served before an order follows from.
 type baseInput struct {
 	order   model.RolloutOrder
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -60,6 +60,8 @@
 
 	mu    sync.Mutex
 	rolls map[model.ServiceID]*roll
+	// versions tells when each version of a service was first seen.
+	versions map[model.ServiceID]map[model.VersionID]time.Time
 }
 
 // roll is one roll-out as this entry sees it.
@@ -98,7 +100,7 @@
 
 // New returns a shifter.
 func New(cfg Config) *Shifter {
-	return &Shifter{cfg: cfg, rolls: map[model.ServiceID]*roll{}}
+	return &Shifter{cfg: cfg, rolls: map[model.ServiceID]*roll{}, versions: map[model.ServiceID]map[model.VersionID]time.Time{}}
 }
 
 // same reports whether two orders ask for the same move.
@@ -159,12 +161,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.roll(ask.Service, now)
+	first := s.firstSeen(ask.Service, ask.Servers, now)
 	if r == nil {
-		return Choice{}
+		return chooseUnordered(ask.Servers, first, now)
 	}
 	return choose(chooseInput{order: r.order, base: r.base, schedule: r.schedule, stage: r.stage, bad: r.bad, ask: ask})
 }
 
+// firstSeen notes new versions; those that were there when a service was first asked for have no time.
+func (s *Shifter) firstSeen(service model.ServiceID, servers []model.BackendServer, now time.Time) map[model.VersionID]time.Time {
+	known := s.versions[service]
+	if known == nil && len(servers) > 0 {
+		known, now = map[model.VersionID]time.Time{}, time.Time{}
+		s.versions[service] = known
+	}
+	for _, b := range servers {
+		if _, ok := known[b.Version]; !ok {
+			known[b.Version] = now
+		}
+	}
+	return known
+}
+
 // Observe takes an outcome of a version.
 func (s *Shifter) Observe(o forwarder.Outcome, now time.Time) {
 	s.mu.Lock()
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -60,6 +60,48 @@
 	}
 }
 
+// TestUnordered answers backend servers that are heard of before the order they were started for.
+func TestUnordered(t *testing.T) {
+	type server struct {
+		Version model.VersionID
+		State   model.BackendState
+	}
+	type step struct {
+		After   time.Duration
+		Servers []server
+		Want    map[model.VersionID]bool
+	}
+	for _, c := range tester.Load[struct {
+		Name  string
+		Steps []step
+	}](t, "unordered.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			s := New(Config{Belief: &noOrder{}, Marks: "marks", Log: zerolog.Nop()})
+			now := time.Unix(1000, 0)
+			for i, p := range c.Steps {
+				now = now.Add(p.After)
+				ask := forwarder.VersionAsk{Service: "drafts", Session: "s"}
+				for _, b := range p.Servers {
+					ask.Servers = append(ask.Servers, model.BackendServer{Version: b.Version, State: b.State})
+				}
+				choice := s.Choose(ask, now)
+				got := map[model.VersionID]bool{}
+				for v := range p.Want {
+					got[v] = choice.Allows(v)
+				}
+				if diff := cmp.Diff(p.Want, got); diff != "" {
+					t.Errorf("allowed versions at step %d (-want +got):\n%s", i, diff)
+				}
+			}
+		})
+	}
+}
+
+// noOrder is a belief without orders.
+type noOrder struct{ fixedBelief }
+
+func (*noOrder) Order(model.ServiceID) (model.RolloutOrder, bool) { return model.RolloutOrder{}, false }
+
 // TestBase answers orders that replace each other while several versions are alive.
 func TestBase(t *testing.T) {
 	type baseCase struct {
