--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -30,7 +30,7 @@
 	// planGap, serversGap and otherGap space the answers of a watch, so that changes in quick
 	// succession cost one call. They are small beside the time in which a change must hold.
 	planGap    = 150 * time.Millisecond
-	serversGap = 300 * time.Millisecond
+	serversGap = 600 * time.Millisecond
 	otherGap   = 50 * time.Millisecond
 	// firstPause and maxPause space the calls to a store that fails. The plan's are closer, since
 	// requests with keys are refused until it answers again.
