Let requests wait for the plan of an entry that has just started

Change: a request that comes before the entry knows plan and lists is held for at most 500 ms, its time limit still counted from its arrival. Test: TestStartsWithCallers, which failed before (503).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -80,7 +80,9 @@
 	orders    map[model.ServiceID]model.RolloutOrder
 	marks     map[string]storer.Object
 	listed    map[string]bool
-	onMark    []func(storer.Object)
+	// ready is closed once the plan and the lists were read.
+	ready  chan struct{}
+	onMark []func(storer.Object)
 	// interrupted ends all watches; it is replaced when the store is lost or its history is gone.
 	interrupted context.Context
 	interrupt   context.CancelCauseFunc
@@ -98,6 +100,7 @@
 		orders:  map[model.ServiceID]model.RolloutOrder{},
 		marks:   map[string]storer.Object{},
 		listed:  map[string]bool{},
+		ready:   make(chan struct{}),
 	}
 	f.interrupted, f.interrupt = context.WithCancelCause(context.Background())
 	return f
@@ -300,6 +303,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed[kind] = true
+	f.settle()
 }
 
 // confirm counts an answer on the plan. It holds as of the start of the call, and of a watch
@@ -339,11 +343,20 @@
 	return f.plan
 }
 
-// Settled reports whether the plan and the lists were read once.
-func (f *Follower) Settled() bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.plan != nil && f.listed[f.cfg.Kinds.Servers] && f.listed[f.cfg.Kinds.Orders] && f.listed[f.cfg.Kinds.Marks]
+// Ready is closed once the plan and the lists were read.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// settle closes ready if all was read; the lock is held.
+func (f *Follower) settle() {
+	k := f.cfg.Kinds
+	if f.plan == nil || !f.listed[k.Servers] || !f.listed[k.Orders] || !f.listed[k.Marks] {
+		return
+	}
+	select {
+	case <-f.ready:
+	default:
+		close(f.ready)
+	}
 }
 
 // applyPlan puts a newer plan in force. An unreadable one leaves the last in force.
@@ -359,6 +372,7 @@
 		}
 		f.mu.Lock()
 		f.plan, f.planRev = p, o.Revision
+		f.settle()
 		f.mu.Unlock()
 		f.cfg.Log.Info().Int64("version", p.Version).Int64("revision", int64(o.Revision)).
 			Int("routes", len(p.Routes)).Int("keys", len(p.Keys)).Msg("follower: plan in force")
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -139,7 +139,7 @@
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
 	trusted := func() bool { ok, _ := f.Trusted(time.Since(start)); return ok }
-	await(t, "trust at the start", 2*time.Second, func() bool { return trusted() && f.Settled() })
+	await(t, "trust at the start", 2*time.Second, func() bool { return trusted() && settled(f) })
 	if ok, _ := f.Trusted(time.Since(start) + 5*time.Second); ok {
 		t.Error("trusted after a suspension of five seconds")
 	}
@@ -185,6 +185,15 @@
 	return storer.Listing{}, &storer.Error{Kind: storer.KindCompacted, Key: kind}
 }
 
+func settled(f *Follower) bool {
+	select {
+	case <-f.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
 func await(t *testing.T, what string, within time.Duration, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); !ok(); time.Sleep(5 * time.Millisecond) {
@@ -208,7 +217,7 @@
 	f := newTestFollower(store, func() time.Duration { return time.Since(start) })
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
-	await(t, "the lists", 2*time.Second, f.Settled)
+	await(t, "the lists", 2*time.Second, func() bool { return settled(f) })
 	if _, err := platform.Put(ctx, "orders/svc", []byte("v2"), 0); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -35,7 +35,8 @@
 // Belief is what the forwarder must know of the platform.
 type Belief interface {
 	Plan() *model.Plan
-	Settled() bool
+	// Ready is closed once the plan and all lists were read.
+	Ready() <-chan struct{}
 	// Trusted reports whether keys are recent enough at a time since boot, and their age.
 	Trusted(now time.Duration) (bool, time.Duration)
 	Servers(s model.ServiceID, now time.Time) []model.BackendServer
@@ -204,13 +205,43 @@
 	switch {
 	case r.URL.Path != f.cfg.Names.ReadyPath:
 		w.WriteHeader(http.StatusNotFound)
-	case f.leaving.Load() || !f.cfg.Belief.Settled():
+	case f.leaving.Load() || !f.settled():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
+// settled reports whether enough is known to serve.
+func (f *Forwarder) settled() bool {
+	select {
+	case <-f.cfg.Belief.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// startWait is how long a request waits for what an entry must know: three times what the first
+// answers of the store take when all entries start at once. Callers leave after a second without
+// having been read, and some return only once.
+const startWait = 500 * time.Millisecond
+
+// awaitStart holds a request that came before the entry knows its plan. It answers callers who all
+// return to entries that have just started; to send them away would cost most of them their last try.
+func (f *Forwarder) awaitStart(ctx context.Context) {
+	if f.settled() {
+		return
+	}
+	t := time.NewTimer(startWait)
+	defer t.Stop()
+	select {
+	case <-f.cfg.Belief.Ready():
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Forwarder) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != f.cfg.Names.MetricsPath {
 		w.WriteHeader(http.StatusNotFound)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -309,6 +309,24 @@
 
 // TestLeaving checks that an entry that was asked to stop is unready at once, still takes what
 // comes, and finishes what runs.
+// TestStartsWithCallers answers callers who all return to entries that have just started: the plan is
+// a few answers of the store away.
+func TestStartsWithCallers(t *testing.T) {
+	b := &backends{t: t, replies: []string{"ok"}}
+	belief := &fakeBelief{plan: testPlan(), servers: b.start(1), ready: make(chan struct{})}
+	e := startEntry(t, belief)
+	time.AfterFunc(startWait/4, func() { close(belief.ready) })
+	if got := e.post(t, "/safe/1"); got != http.StatusOK {
+		t.Errorf("status %d for a request that came %v before the plan, want 200", got, startWait/4)
+	}
+	late := startEntry(t, &fakeBelief{ready: make(chan struct{})})
+	began := time.Now()
+	got := late.post(t, "/safe/1")
+	if took := time.Since(began); got != http.StatusServiceUnavailable || took > startWait+200*time.Millisecond {
+		t.Errorf("status %d after %v without a plan, want 503 after %v", got, took, startWait)
+	}
+}
+
 func TestLeaving(t *testing.T) {
 	b := &backends{t: t, replies: []string{"ok"}}
 	e := startEntry(t, &fakeBelief{plan: testPlan(), servers: b.start(1)})
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -31,10 +31,28 @@
 	plan    *model.Plan
 	stale   bool
 	servers []model.BackendServer
+	// ready is closed when the belief is complete; nil stands for one that always is.
+	ready chan struct{}
+}
+
+func (b *fakeBelief) Ready() <-chan struct{} {
+	if b.ready == nil {
+		ready := make(chan struct{})
+		close(ready)
+		return ready
+	}
+	return b.ready
+}
+
+func (b *fakeBelief) Plan() *model.Plan {
+	select {
+	case <-b.Ready():
+		return b.plan
+	default:
+		return nil
+	}
 }
 
-func (b *fakeBelief) Plan() *model.Plan                                        { return b.plan }
-func (b *fakeBelief) Settled() bool                                            { return b.plan != nil }
 func (b *fakeBelief) Trusted(time.Duration) (bool, time.Duration)              { return !b.stale, 0 }
 func (b *fakeBelief) Servers(model.ServiceID, time.Time) []model.BackendServer { return b.servers }
 
@@ -294,3 +312,21 @@
 	})
 	return e
 }
+
+// post sends a small request with a good key and returns the status.
+func (e *entry) post(t *testing.T, path string) int {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Id", "request-1")
+	r.Header.Set("Authorization", "Key good")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -29,6 +29,7 @@
 // serve takes a request from its first byte to its answer or refusal.
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	f.awaitStart(r.Context())
 	if f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
