--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -68,7 +68,8 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	m := meter.New()
 	lines := logger.Bounded(out, func(n int) { m.Count("log/lost", n) })
-	defer lines.Close()
+	// An error tells that nobody reads the log any more, so there is nobody to tell it to.
+	defer func() { _ = lines.Close() }()
 	log := logger.New(lines, model.LogSettings{Level: d.level, Form: "json"}, s.Instance)
 	listeners, err := listenDirect(s, log)
 	if err != nil {
--- a/internal/logger/bounded.go
+++ b/internal/logger/bounded.go
@@ -1,9 +1,11 @@
 package logger
 
 import (
+	"errors"
 	"io"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 )
 
@@ -13,10 +15,36 @@
 	boundedLines = 4096
 	// boundedPoll is how often waiting lines are written.
 	boundedPoll = 10 * time.Millisecond
+	// closeWait is how long the end of a process waits for its last lines to be read.
+	closeWait = 200 * time.Millisecond
 )
 
-// Bounded returns a writer that never blocks: lines beyond those that may wait are lost, and
-// lost is told their number.
+// bounded is a writer that never blocks.
+type bounded struct{ diode.Writer }
+
+// Bounded returns a writer that never blocks: lines beyond those that may wait are lost. Lost is told
+// their number, and a line tells it once the log is read again.
 func Bounded(w io.Writer, lost func(n int)) io.WriteCloser {
-	return diode.NewWriter(w, boundedLines, boundedPoll, func(n int) { lost(n) })
+	direct := zerolog.New(w).With().Timestamp().Logger()
+	return bounded{diode.NewWriter(w, boundedLines, boundedPoll, func(n int) {
+		lost(n)
+		direct.Warn().Int("lost", n).Msg("logger: lines were lost")
+	})}
+}
+
+// errUnread tells that the last lines were not read in time.
+var errUnread = errors.New("the last lines of the log were not read in time")
+
+// Close writes what waits, as far as it is read soon.
+func (b bounded) Close() error {
+	done := make(chan error, 1)
+	go func() { done <- b.Writer.Close() }()
+	t := time.NewTimer(closeWait)
+	defer t.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-t.C:
+		return errUnread
+	}
 }
