--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -47,18 +47,7 @@
 			if c.Large {
 				size = 2000
 			}
-			r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+"/"+c.Route+"/a", strings.NewReader(strings.Repeat("x", size)))
-			if err != nil {
-				t.Fatal(err)
-			}
-			r.Host = "a.example"
-			r.Header.Set("Id", "request-1")
-			r.Header.Set("Authorization", "Key good")
-			resp, err := http.DefaultTransport.RoundTrip(r)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
+			resp := e.post(t, "/"+c.Route+"/a", strings.Repeat("x", size))
 			body, err := io.ReadAll(resp.Body)
 			got := Result{
 				Status: resp.StatusCode, Sealed: resp.Header.Get("Seal") != "", Retry: resp.Header.Get("Retry-After") != "",
@@ -316,12 +305,12 @@
 	belief := &fakeBelief{plan: testPlan(), servers: b.start(1), ready: make(chan struct{})}
 	e := startEntry(t, belief)
 	time.AfterFunc(startWait/4, func() { close(belief.ready) })
-	if got := e.post(t, "/safe/1"); got != http.StatusOK {
+	if got := e.post(t, "/safe/1", "body").StatusCode; got != http.StatusOK {
 		t.Errorf("status %d for a request that came %v before the plan, want 200", got, startWait/4)
 	}
 	late := startEntry(t, &fakeBelief{ready: make(chan struct{})})
 	began := time.Now()
-	got := late.post(t, "/safe/1")
+	got := late.post(t, "/safe/1", "body").StatusCode
 	if took := time.Since(began); got != http.StatusServiceUnavailable || took > startWait+200*time.Millisecond {
 		t.Errorf("status %d after %v without a plan, want 503 after %v", got, took, startWait)
 	}
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -313,10 +313,10 @@
 	return e
 }
 
-// post sends a small request with a good key and returns the status.
-func (e *entry) post(t *testing.T, path string) int {
+// post sends a request with a good key and returns the answer.
+func (e *entry) post(t *testing.T, path, body string) *http.Response {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+path, strings.NewReader("body"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.callers+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -327,6 +327,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp.Body.Close()
-	return resp.StatusCode
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
 }
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -40,6 +40,8 @@
 	// leastDrain is how long the old version's streams have at least, if the new version takes all too
 	// late to be completed in time.
 	leastDrain = 2 * time.Second
+	// defaultWithin is the time of an order that names none.
+	defaultWithin = time.Minute
 	// defaultExposure is the exposure bound if the settings name none.
 	defaultExposure = 0.1
 )
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -113,6 +113,9 @@
 		delete(s.rolls, service)
 		return nil
 	}
+	if o.Within <= 0 {
+		o.Within = defaultWithin
+	}
 	r := s.rolls[service]
 	if r == nil || !same(r.order, o) {
 		r = &roll{since: now, judge: newJudge(), schedule: scheduleOf(o.Within, s.cfg.Exposure)}
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -182,6 +182,19 @@
 	}
 }
 
+// TestOrderWithoutTime checks that an order which names no time does not move all requests at once.
+func TestOrderWithoutTime(t *testing.T) {
+	o := testOrder(model.RolloutRunning, "")
+	o.Within = 0
+	s := New(Config{Belief: &fixedBelief{order: o}, Marks: "marks", Log: zerolog.Nop()})
+	now := time.Unix(1000, 0)
+	ask := forwarder.VersionAsk{Service: "drafts", Session: "s35"}
+	s.Choose(ask, now)
+	if d := due(s.rolls["drafts"], "entry-1", now.Add(10*time.Second)); d != deedNone {
+		t.Errorf("deed %q is due ten seconds after the order, want none", d)
+	}
+}
+
 func TestDue(t *testing.T) {
 	type deedCase struct {
 		Name    string
