Shut down all generations of a leaving entry's servers at once

Connections that start under other limits of the plan go to a server of their own, and these were shut down one after the other: while requests of the oldest ran, the newer ones went on taking more.

Change: all at once. Test: TestShutdownOfAllGenerations, which failed before (200).

--- a/internal/forwarder/front.go
+++ b/internal/forwarder/front.go
@@ -128,8 +128,13 @@
 	if l != nil {
 		errs = append(errs, l.Close())
 	}
+	// All at once: one whose requests run long must not leave the others open.
+	ends := make(chan error, len(all))
 	for _, g := range all {
-		errs = append(errs, g.server.Shutdown(ctx))
+		go func() { ends <- g.server.Shutdown(ctx) }()
+	}
+	for range all {
+		errs = append(errs, <-ends)
 	}
 	return errors.Join(errs...)
 }
