Complete a version 0.8 s before the end of its order's time

In an order of ten seconds the lead of one second took the trial's share down to 3.9%: twelve requests were seen.

Change: 0.8 s, which leaves such an order a trial of 9%.

--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -36,7 +36,7 @@
 	exposurePart = 0.9
 	// completeLead is how long before the end of the order's time the version is reported as completed:
 	// a write whose answer was lost is repeated once, and who gave the order looks at it now and then.
-	completeLead = time.Second
+	completeLead = 800 * time.Millisecond
 	// leastDrain is how long the old version's streams have at least, if the new version takes all too
 	// late to be completed in time.
 	leastDrain = 2 * time.Second
