Take the soak's ports from below those of outgoing connections

The port was free when it was chosen and was then given to an outgoing connection. No promise of the product was broken.

--- a/internal/soaker/ports.go
+++ b/internal/soaker/ports.go
@@ -2,29 +2,35 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 )
 
-// portTries bounds the search for a port whose successor is free as well.
-const portTries = 200
+const (
+	// portTries bounds the search for ports.
+	portTries = 1000
+	// firstPort and lastPort lie below the ports that systems give to outgoing connections, one of
+	// which would take an entry's port before it starts.
+	firstPort, lastPort = 20_000, 32_000
+)
 
 // freePorts returns n ports that are free for TCP now, each with a successor that is free for UDP.
 func freePorts(n int) ([]int, error) {
 	var out []int
 	for range portTries {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		port := firstPort + 2*rand.IntN((lastPort-firstPort)/2)
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port+1))
-		if err == nil {
-			_ = u.Close()
-			out = append(out, port)
+			continue
 		}
 		// The listener stays open until all ports are found, so that none comes twice.
 		defer l.Close()
-		if len(out) == n {
+		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+		if err != nil {
+			continue
+		}
+		_ = u.Close()
+		if out = append(out, port); len(out) == n {
 			return out, nil
 		}
 	}
