--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -136,8 +136,7 @@
 	}
 	start := time.Now()
 	f := newTestFollower(platform, func() time.Duration { return time.Since(start) })
-	done := make(chan struct{})
-	go func() { f.Run(ctx); close(done) }()
+	done := run(ctx, f)
 	trusted := func() bool { ok, _ := f.Trusted(time.Since(start)); return ok }
 	await(t, "trust at the start", 2*time.Second, func() bool { return trusted() && settled(f) })
 	if ok, _ := f.Trusted(time.Since(start) + 5*time.Second); ok {
@@ -162,8 +161,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	done := make(chan struct{})
-	go func() { f.Run(ctx); close(done) }()
+	done := run(ctx, f)
 	await(t, "the first plan", 2*time.Second, func() bool { return f.Plan() != nil })
 	platform.SetFaults(standin.PlatformFaults{Gap: true})
 	if _, err := platform.Put(ctx, "plans/main", []byte("22"), rev); err != nil {
@@ -185,6 +183,13 @@
 	return storer.Listing{}, &storer.Error{Kind: storer.KindCompacted, Key: kind}
 }
 
+// run lets a follower run and returns what is closed at its end.
+func run(ctx context.Context, f *Follower) <-chan struct{} {
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	return done
+}
+
 func settled(f *Follower) bool {
 	select {
 	case <-f.Ready():
@@ -215,8 +220,7 @@
 	start := time.Now()
 	store := &deaf{Store: platform, compacted: make(chan struct{})}
 	f := newTestFollower(store, func() time.Duration { return time.Since(start) })
-	done := make(chan struct{})
-	go func() { f.Run(ctx); close(done) }()
+	done := run(ctx, f)
 	await(t, "the lists", 2*time.Second, func() bool { return settled(f) })
 	if _, err := platform.Put(ctx, "orders/svc", []byte("v2"), 0); err != nil {
 		t.Fatal(err)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/hasher"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -166,7 +167,7 @@
 	for _, s := range shares {
 		sum += s.Weight
 	}
-	at := float64(xxhash.Sum64String(r.Header.Get(f.cfg.Names.Request))>>11) / (1 << 53) * sum
+	at := hasher.Unit(r.Header.Get(f.cfg.Names.Request)) * sum
 	for _, s := range shares {
 		if at < s.Weight {
 			return s.Service
--- a/internal/picker/direct.go
+++ b/internal/picker/direct.go
@@ -76,11 +76,5 @@
 func busy(b Backend) int { return max(b.Open, b.Running+b.Waiting+b.Sent-b.Done) }
 
 func distance(b Backend, self model.Place) float64 {
-	switch {
-	case b.Server.Place.Region != self.Region:
-		return regionPenalty
-	case b.Server.Place.Domain != self.Domain:
-		return domainPenalty
-	}
-	return 0
+	return byDistance(b.Server.Place, self, domainPenalty, regionPenalty)
 }
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -153,11 +153,5 @@
 	if e.Server.Cold > 0 {
 		wait += coldWait
 	}
-	switch {
-	case e.Server.Place.Region != in.Self.Region:
-		wait += regionWait
-	case e.Server.Place.Domain != in.Self.Domain:
-		wait += domainWait
-	}
-	return wait
+	return wait + byDistance(e.Server.Place, in.Self, domainWait, regionWait)
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -130,13 +130,19 @@
 func utilisation(c Candidate, in Input) float64 {
 	busy := float64(max(c.Open, c.Load.Running+c.Load.Queued+c.Sent-c.Done))
 	u := busy / float64(max(c.Load.Limit, 1))
+	return u + byDistance(c.Instance.Place, in.Self, domainPenalty, regionPenalty)
+}
+
+// byDistance returns what a place costs: nothing in the own failure domain, domain in another one of the
+// own region, region beyond.
+func byDistance[T float64 | time.Duration](place, self model.Place, domain, region T) T {
 	switch {
-	case c.Instance.Place.Region != in.Self.Region:
-		u += regionPenalty
-	case c.Instance.Place.Domain != in.Self.Domain:
-		u += domainPenalty
+	case place.Region != self.Region:
+		return region
+	case place.Domain != self.Domain:
+		return domain
 	}
-	return u
+	return 0
 }
 
 // byHint returns the server that served the session last, unless it is full.
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -65,9 +65,9 @@
 
 // control takes an outcome of another version.
 func (j *judge) control(o forwarder.Outcome) {
-	e := j.weigh(o, true)
-	j.guard.Control(e.Tally)
-	j.pace.Control(e.Pace)
+	heads, pace, _ := j.count(o, true)
+	j.guard.Control(heads)
+	j.pace.Control(pace)
 	key, took := timed(o)
 	if o.Failed || took <= 0 {
 		return
@@ -106,34 +106,37 @@
 	Servers map[model.BackendID]record `json:"servers"`
 }
 
-// weigh returns what an outcome tells. Its times count only while another version runs beside it,
-// since load slows both.
-func (j *judge) weigh(o forwarder.Outcome, beside bool) evidence {
-	var e evidence
-	var s record
+// count returns what an outcome tells of failures and heads, of the pace of streams and of its backend
+// server. Its times count only while another version runs beside it, since load slows both.
+func (j *judge) count(o forwarder.Outcome, beside bool) (heads, pace model.Tally, server record) {
 	r, ok := j.relative(o)
-	ok = ok && beside && !o.Failed
-	switch {
-	case o.Between > 0 && ok:
-		e.Pace.Requests = 1
-		if r > math.Log(paceFactor) {
-			e.Pace.Failures, s.Slow = 1, 1
-		}
-	case o.Between > 0:
-	case o.Failed:
-		e.Tally.Requests, s.Asked = 1, 1
-		e.Tally.Failures, s.Failed = 1, 1
-	default:
-		e.Tally.Requests, s.Asked = 1, 1
-		if ok {
-			e.Tally.Timed, e.Tally.LogFirst, e.Tally.LogFirst2 = 1, r, r*r
+	timed := ok && beside && !o.Failed
+	if o.Between > 0 {
+		if timed {
+			pace.Requests = 1
 		}
-		if ok && r > math.Log(slowFactor) {
-			s.Slow = 1
+		if timed && r > math.Log(paceFactor) {
+			pace.Failures, server.Slow = 1, 1
 		}
+		return heads, pace, server
+	}
+	heads.Requests, server.Asked = 1, 1
+	if o.Failed {
+		heads.Failures, server.Failed = 1, 1
+	}
+	if timed {
+		heads.Timed, heads.LogFirst, heads.LogFirst2 = 1, r, r*r
 	}
-	e.Servers = map[model.BackendID]record{o.Backend: s}
-	return e
+	if timed && r > math.Log(slowFactor) {
+		server.Slow = 1
+	}
+	return heads, pace, server
+}
+
+// weigh returns what an outcome of the new version tells.
+func (j *judge) weigh(o forwarder.Outcome, beside bool) evidence {
+	heads, pace, server := j.count(o, beside)
+	return evidence{Tally: heads, Pace: pace, Servers: map[model.BackendID]record{o.Backend: server}}
 }
 
 // add sums evidence.
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
+	"github.com/bramleyhinge/bramleyhinge/internal/hasher"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -142,7 +141,7 @@
 	if key == "" {
 		key = in.ask.Request
 	}
-	if float64(xxhash.Sum64String(key+"\x00"+string(in.order.Version))>>11)/(1<<53) < share {
+	if hasher.Unit(key+"\x00"+string(in.order.Version)) < share {
 		return after
 	}
 	return before
@@ -213,6 +212,6 @@
 // turn returns how long an entry waits beyond the time of a write, so that one write suffices in
 // most cases.
 func turn(self model.InstanceID, n stage, within time.Duration) time.Duration {
-	at := float64(xxhash.Sum64String(string(self)+string(rune('0'+n)))>>11) / (1 << 53)
+	at := hasher.Unit(string(self) + string(rune('0'+n)))
 	return time.Duration(at * min(spread*float64(within), float64(maxSpread)))
 }
