Keep the soak's ports apart from those of the scripts

Its log: listen on 127.0.0.1:31152: address already in use. The scripts choose ports from 12,000 to 32,000 and stop and start processes on them; the soak chose from 20,000 on and took one while its process was down.

--- a/internal/soaker/ports.go
+++ b/internal/soaker/ports.go
@@ -10,8 +10,9 @@
 	// portTries bounds the search for ports.
 	portTries = 1000
 	// firstPort and lastPort lie below the ports that systems give to outgoing connections, one of
-	// which would take an entry's port before it starts.
-	firstPort, lastPort = 20_000, 32_000
+	// which would take an entry's port before it starts, and below those that the scripts of
+	// internal/cli take for processes that they stop and start again.
+	firstPort, lastPort = 4_000, 12_000
 )
 
 // freePorts returns n ports that are free for TCP now, each with a successor that is free for UDP.
