Stop without cutting requests that were just taken

And net/http drops requests that it reads after Shutdown has begun, and the frontend closed connections that were accepted just before it, both without an answer. Change: while an entry stops, requests whose expected answer takes over half of the remaining time are refused at once, not run, for another entry to serve; an escalation must fit into the same time; the requests that run get all but 0.2 s of the grace period (0.4 s before). Connections are closed after their next answer instead of by Shutdown, and accepted ones are served first.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
@@ -27,7 +28,7 @@
 	// balancer checks readiness every second and needs two failed checks.
 	unreadyDelay = 3 * time.Second
 	// exitMargin is how long before the end of the grace period, when the process is killed, shutdown must end.
-	exitMargin = 400 * time.Millisecond
+	exitMargin = 200 * time.Millisecond
 	// bodyMemoryDivisor limits request bodies to the configured memory divided by it.
 	bodyMemoryDivisor = 4
 )
@@ -111,7 +112,8 @@
 	speeds      *speeds
 	bodies      *semaphore.Weighted
 	reserved    map[string]bool
-	stopping    atomic.Bool
+	// cutAt is when the requests that still run are cut because the entry stops; nil while it does not stop.
+	cutAt atomic.Pointer[time.Time]
 }
 
 // New returns a forwarder; Run starts it.
@@ -184,11 +186,12 @@
 
 func (f *Forwarder) gracefulStop(frontend *frontend) {
 	start := time.Now()
-	f.stopping.Store(true)
+	cutAt := start.Add(f.cfg.Settings.Grace - exitMargin)
+	f.cutAt.Store(&cutAt)
 	f.cfg.Log.Info().Int64("running", frontend.inFlight.Load()).Msg("forwarder: shutting down, no longer ready")
 	delay := min(unreadyDelay, f.cfg.Settings.Grace/2)
 	time.Sleep(delay)
-	ctx, cancel := context.WithTimeout(context.Background(), f.cfg.Settings.Grace-exitMargin-delay)
+	ctx, cancel := context.WithDeadline(context.Background(), cutAt)
 	defer cancel()
 	if err := frontend.shutdown(ctx); err != nil {
 		f.cfg.Log.Warn().Err(err).Int64("running", frontend.inFlight.Load()).Msg("forwarder: grace period ended while requests were in flight")
@@ -204,11 +207,29 @@
 	return model.PlanLimits{}
 }
 
+func (f *Forwarder) isStopping() bool { return f.cutAt.Load() != nil }
+
+// timeLeft returns how long an answer may still take: until the request's deadline and, while the entry stops,
+// within the part of the remaining grace period that may be planned for.
+func (f *Forwarder) timeLeft(c *call, now time.Time) time.Duration {
+	left := c.deadline.Sub(now)
+	if cutAt := f.cutAt.Load(); cutAt != nil {
+		left = min(left, admitter.UsableTime(cutAt.Sub(now)))
+	}
+	return left
+}
+
+// canFinish reports whether a request that was not sent yet can be answered before the entry ends.
+func (f *Forwarder) canFinish(expected time.Duration, now time.Time) bool {
+	cutAt := f.cutAt.Load()
+	return cutAt == nil || admitter.FinishesBeforeStop(cutAt.Sub(now), expected)
+}
+
 func (f *Forwarder) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path != f.cfg.Names.ReadyPath:
 		w.WriteHeader(http.StatusNotFound)
-	case f.stopping.Load() || !f.isReady():
+	case f.isStopping() || !f.isReady():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/internal/forwarder/frontend.go
+++ b/internal/forwarder/frontend.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +36,8 @@
 	generations []*generation
 	listener    net.Listener
 	closed      bool
+	// accepted is closed once serve has passed on all accepted connections.
+	accepted chan struct{}
 }
 
 // generation is a server with fixed limits; accepted connections are passed to it.
@@ -44,10 +48,44 @@
 	done   chan struct{}
 	addr   net.Addr
 	once   sync.Once
+
+	mu sync.Mutex
+	// busy holds the connections that are neither idle nor closed, and when they became so.
+	busy map[net.Conn]time.Time
+}
+
+// trackState records whether a connection is idle.
+func (g *generation) trackState(c net.Conn, s http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch s {
+	case http.StateNew, http.StateActive:
+		g.busy[c] = time.Now()
+	default:
+		delete(g.busy, c)
+	}
+}
+
+// firstRequestTime is how long a new connection may take to send its first request while its entry stops.
+const firstRequestTime = time.Second
+
+// isBusy reports whether requests run, or may arrive on connections that were opened just before now.
+func (g *generation) isBusy(inFlight int64, now time.Time) bool {
+	if inFlight > 0 {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, since := range g.busy {
+		if now.Sub(since) < firstRequestTime {
+			return true
+		}
+	}
+	return false
 }
 
 func newFrontend(h http.Handler, limits func() model.PlanLimits) *frontend {
-	f := &frontend{limits: limits}
+	f := &frontend{limits: limits, accepted: make(chan struct{})}
 	f.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.inFlight.Add(1)
 		defer f.inFlight.Add(-1)
@@ -58,6 +96,7 @@
 
 // serve accepts connections until the frontend is shut down.
 func (f *frontend) serve(l net.Listener) error {
+	defer close(f.accepted)
 	f.mu.Lock()
 	f.listener = l
 	f.mu.Unlock()
@@ -79,6 +118,7 @@
 			continue
 		}
 		g := f.generation(l.Addr())
+		g.trackState(conn, http.StateNew)
 		select {
 		case g.conns <- conn:
 		case <-g.done:
@@ -95,12 +135,13 @@
 	if f.current != nil && f.current.limits == limits {
 		return f.current
 	}
-	g := &generation{limits: limits, conns: make(chan net.Conn), done: make(chan struct{}), addr: addr}
+	g := &generation{limits: limits, conns: make(chan net.Conn), done: make(chan struct{}), addr: addr, busy: map[net.Conn]time.Time{}}
 	g.server = &http.Server{
 		Handler:           f.handler,
 		MaxHeaderBytes:    orDefault(int(limits.Header), defaultHeaderBytes) + headerSlackBytes,
 		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		ConnState:         g.trackState,
 	}
 	f.current = g
 	f.generations = append(f.generations, g)
@@ -118,28 +159,55 @@
 	return v
 }
 
-// shutdown stops accepting, closes idle connections and waits for requests.
+// shutdown stops accepting, closes idle connections and waits for requests. Connections that were accepted
+// before are served first: their callers may have sent a request already.
 func (f *frontend) shutdown(ctx context.Context) error {
 	f.mu.Lock()
 	f.closed = true
-	generations := f.generations
 	l := f.listener
 	f.mu.Unlock()
 	var errs []error
 	if l != nil {
 		errs = append(errs, l.Close())
+		select {
+		case <-f.accepted:
+		case <-ctx.Done():
+		}
 	}
-	// Shut down all generations at once: one with long requests must not keep the others open.
-	results := make(chan error, len(generations))
+	f.mu.Lock()
+	generations := f.generations
+	f.mu.Unlock()
+	// http.Server.Shutdown would drop requests that arrive during it, so each connection is closed after its
+	// next answer instead. That goes for all generations at once: one with long requests must not keep the
+	// others open.
 	for _, g := range generations {
-		go func() { results <- g.server.Shutdown(ctx) }()
+		g.server.SetKeepAlivesEnabled(false)
 	}
-	for range generations {
-		errs = append(errs, <-results)
+	errs = append(errs, f.awaitQuiet(ctx, generations))
+	for _, g := range generations {
+		errs = append(errs, g.server.Close())
 	}
 	return errors.Join(errs...)
 }
 
+// quietCheckInterval is how often a shutdown checks whether requests still run.
+const quietCheckInterval = 20 * time.Millisecond
+
+// awaitQuiet waits until no request runs. It returns an error if some still run when ctx ends.
+func (f *frontend) awaitQuiet(ctx context.Context, generations []*generation) error {
+	t := time.NewTicker(quietCheckInterval)
+	defer t.Stop()
+	now := time.Now()
+	for slices.ContainsFunc(generations, func(g *generation) bool { return g.isBusy(f.inFlight.Load(), now) }) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for %d requests: %w", f.inFlight.Load(), ctx.Err())
+		case now = <-t.C:
+		}
+	}
+	return nil
+}
+
 // Accept implements net.Listener.
 func (g *generation) Accept() (net.Conn, error) {
 	select {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -163,6 +163,10 @@
 	case "doubt":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "poor"), "Seal: s", "Seal: s\r\nConfidence: 10", 1))
 		return true
+	case "doubtevents":
+		const events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+		fmt.Fprint(c, strings.Replace(answer(req, "", events), "Seal: s", "Seal: s\r\nConfidence: 10", 1))
+		return true
 	case "surplus":
 		fmt.Fprint(c, answer(req, "", "answer"), "HTTP/1.1 200 OK\r\n\r\nmore")
 		return true
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -50,6 +50,8 @@
 	// that the prompt does not have to wait for others.
 	prefillTime time.Duration
 	uncontended bool
+	// expected is how long the answer is expected to take from now on, at the current backend server.
+	expected time.Duration
 	// inFlight is the number of running and waiting requests at that backend server when it was chosen.
 	inFlight int
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -21,6 +21,9 @@
 	// Prefill on another engine does not help if engines are slow under load; a dead one is detected
 	// by its connection.
 	engineHeadTimeoutTargets = 3
+	// stoppingRetry is when a caller may return that an entry refused because it stops: another entry serves
+	// it at once.
+	stoppingRetry = 50 * time.Millisecond
 	// retryReserveRatio is the part of the retry budget's ratio that escalations to a larger model leave for
 	// retries after failures.
 	retryReserveRatio = 0.15
@@ -30,7 +33,7 @@
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	f.awaitPlan(r.Context())
-	if f.stopping.Load() {
+	if f.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	c, release, refusal := f.readRequest(r, now)
@@ -60,6 +63,10 @@
 		if !ok {
 			break
 		}
+		if c.sent == 0 && !f.canFinish(c.expected, now) {
+			last = model.Refuse(model.KindLeaving, "the entry stops before an answer would be complete: send the request again").WithRetry(stoppingRetry)
+			break
+		}
 		p.startRequest(c.prefillTime, now)
 		c.attemptStart = now
 		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
@@ -237,7 +244,7 @@
 		RetryAllowed:   choice.Found && f.retryBudget.CanRetry(c.service.Service, retryReserveRatio, now),
 		Utilisation:    choice.Utilisation,
 		AnswerDuration: choice.Wait + f.speeds.estimateAnswer(larger, c.service.Engine, c.prompt.outputTokens),
-		TimeLeft:       c.deadline.Sub(now),
+		TimeLeft:       f.timeLeft(c, now),
 		Late:           now.Add(choice.Wait).Sub(c.start) > c.route.LatencyTarget,
 	})
 	f.cfg.Log.Info().Str("request", c.id).Str("model", string(c.model)).Int("confidence", confidence).Str("next", string(next)).Str("why", reason).
