Keep late copies, endless bytes and stalled streams of backend servers apart

A late second copy of an answer that named no request was taken for the answer of the next caller on its connection. A head that never ended was read into memory until the caller's time was over. A stream that sent only comments counted as alive until the route's timeout. A body without length and end was forwarded until then as well, and a long error answer could leave its unread rest on a connection that was used again. Change: an answer on a reused connection must name its request; a head has at most 64 KiB; an answer without a length at most 16 MiB and then breaks off visibly; only events with data extend the silence that a stream may keep; a connection whose answer was not read whole is closed.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -26,6 +26,12 @@
 	silenceGapFactor = 2
 )
 
+// maxUnsizedBytes is the size up to which an answer without a length is forwarded. A backend server in trouble
+// may send bytes without end.
+const maxUnsizedBytes = 16 << 20
+
+var errBodyTooLong = errors.New("the body of the answer has no length and does not end")
+
 // answerWriter writes an answer to the caller; started is set once the status line is written.
 type answerWriter struct {
 	w       http.ResponseWriter
@@ -79,11 +85,12 @@
 		rep.closeConn()
 		return classifyError(ctx, err)
 	}
+	whole := len(body) < bufferedBodyBytes
 	failed := rep.StatusCode >= http.StatusInternalServerError
 	if failed {
 		c.mayHaveRun = true
 		if f.shouldRetryFailed(c) {
-			rep.releaseConn(time.Now())
+			rep.releaseIfWhole(whole, time.Now())
 			return &failure{kind: failureFailed, cause: errors.New("the backend server answered status " + strconv.Itoa(rep.StatusCode))}
 		}
 	}
@@ -92,11 +99,11 @@
 	if promisesNotRun(rep.StatusCode) || !rep.sealed {
 		// The status would promise that the request did not run, which no backend server has confirmed.
 		c.mayHaveRun = true
-		rep.releaseConn(now)
+		rep.releaseIfWhole(whole, now)
 		f.refuse(out.w, c, model.Refuse(model.KindBackendFailed, "the backend server failed with status %d", rep.StatusCode).WithRun(model.RunUnknown))
 		return nil
 	}
-	if len(body) == bufferedBodyBytes {
+	if !whole {
 		return f.deliverLongBody(ctx, c, rep, out, body)
 	}
 	rep.releaseConn(now)
@@ -110,7 +117,15 @@
 func (f *Forwarder) deliverLongBody(ctx context.Context, c *call, rep *reply, out *answerWriter, buffered []byte) *failure {
 	out.writeHead(rep, rep.ContentLength)
 	c.delivered = true
-	if _, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(buffered), rep.Body)); err != nil {
+	rest := rep.Body.(io.Reader)
+	if rep.ContentLength < 0 {
+		rest = io.LimitReader(rest, maxUnsizedBytes)
+	}
+	n, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(buffered), rest))
+	if err == nil && rep.ContentLength < 0 && n >= maxUnsizedBytes {
+		err = errBodyTooLong
+	}
+	if err != nil {
 		rep.closeConn()
 		return classifyError(ctx, err)
 	}
@@ -143,8 +158,9 @@
 	silenceLimit := max(minSilenceLimit, silenceGapFactor*c.route.MaxEventGap)
 	awaitingFirst, delivered := !c.delivered, 0
 	streamStart := time.Now()
+	lastData := streamStart
 	for {
-		until := time.Now().Add(silenceLimit)
+		until := lastData.Add(silenceLimit)
 		if until.After(c.deadline) {
 			until = c.deadline
 		}
@@ -160,6 +176,10 @@
 			rep.closeConn()
 			return classifyError(ctx, err)
 		}
+		if len(splitter.Data(event)) > 0 {
+			// Comments do not count: a stalled backend server may go on sending them.
+			lastData = time.Now()
+		}
 		if awaitingFirst {
 			f.recordOutcome(c, rep, false, time.Now())
 			f.cfg.Meter.ObserveTimeToFirstEvent(c.org, model.ClassID(c.route.Route), time.Since(c.start))
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -28,10 +31,36 @@
 	readBufferBytes = 8 << 10
 )
 
+// maxHeadBytes is the largest head of an answer. A backend server in trouble may send bytes without end.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLong = errors.New("the head of the answer does not end")
+
+// headLimit reads from a connection and fails once more than left bytes were read, unless unlimited is set.
+type headLimit struct {
+	r         io.Reader
+	left      int
+	unlimited bool
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(b []byte) (int, error) {
+	if l.unlimited {
+		return l.r.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
 	r      *bufio.Reader
+	limit  *headLimit
 	reused bool
 	// idleSince is when the connection became idle, usableUntil is when reuse ends.
 	idleSince, usableUntil time.Time
@@ -56,7 +85,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limit := &headLimit{r: c}
+	return &conn{Conn: c, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
+}
+
+// readResponse reads the head of an answer to a request with the method.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	c.limit.left, c.limit.unlimited = maxHeadBytes, false
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	c.limit.unlimited = true
+	return resp, err
 }
 
 // isUsable reports whether an idle connection may carry another request. If maxIdle is above zero, the
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -49,6 +49,7 @@
 
 var (
 	errForeignAnswer = errors.New("the answer belongs to another request")
+	errNoRequestID   = errors.New("the answer on a reused connection names no request")
 	errUnsealed      = errors.New("the answer lacks the backend server's seal")
 	errEncoded       = errors.New("the answer is encoded, which the request did not ask for")
 )
@@ -116,7 +117,7 @@
 func (f *Forwarder) readHead(ctx context.Context, c *call, rep *reply) *failure {
 	n := f.cfg.Names
 	for foreign := 0; ; foreign++ {
-		resp, err := http.ReadResponse(rep.conn.r, &http.Request{Method: c.method})
+		resp, err := rep.conn.readResponse(c.method)
 		if err != nil {
 			fail := classifyError(ctx, err)
 			// A reused connection that breaks at once was most likely dropped while it was idle. This is not
@@ -134,12 +135,18 @@
 			}
 			f.cfg.Log.Warn().Str("request", c.id).Str("other", id).Str("backend", string(rep.peer.server.Backend)).
 				Msg("forwarder: skipped a late answer to another request")
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, bufferedBodyBytes)); err != nil {
 				return classifyError(ctx, err)
+			} else if n == bufferedBodyBytes {
+				return &failure{kind: failureBroken, cause: errForeignAnswer}
 			}
 			rep.conn.usableUntil = time.Time{}
 			continue
 		}
+		if resp.Header.Get(n.Request) == "" && (rep.conn.reused || foreign > 0) {
+			// Without an id, this may be a late copy of an earlier answer on the connection.
+			return &failure{kind: failureBroken, cause: errNoRequestID}
+		}
 		return f.checkHead(rep)
 	}
 }
@@ -219,6 +226,15 @@
 	r.conn.close()
 }
 
+// releaseIfWhole releases the connection if the whole body was read and closes it otherwise.
+func (r *reply) releaseIfWhole(whole bool, now time.Time) {
+	if !whole {
+		r.closeConn()
+		return
+	}
+	r.releaseConn(now)
+}
+
 // releaseConn returns the connection to the idle pool after the whole body was read, if it is reusable.
 func (r *reply) releaseConn(now time.Time) {
 	if !r.stop() {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -177,6 +177,20 @@
 	case "unsealed":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "answer"), "Seal: s\r\n", "", 1))
 		return true
+	case "copy":
+		// The copy, which names no request, arrives once the connection is in use again.
+		fmt.Fprint(c, answer(req, "", "answer"))
+		_, _ = r.Peek(1)
+		fmt.Fprint(c, strings.Replace(answer(req, "", "copy"), "Id: "+id+"\r\n", "", 1))
+		return true
+	case "endlesshead":
+		return endless(c, "HTTP/1.1 200 OK\r\n", "Filler: "+strings.Repeat("x", 1000)+"\r\n")
+	case "endlessline":
+		return endless(c, "", strings.Repeat("x", 1000))
+	case "endlessbody":
+		return endless(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: s\r\n\r\n", strings.Repeat("x", 64<<10))
+	case "endlessevent":
+		return endless(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: s\r\n\r\nid: 1\ndata: ", strings.Repeat("x", 64<<10))
 	case "encoded":
 		fmt.Fprint(c, answer(req, "Content-Encoding: gzip\r\n", "answer"))
 		return true
@@ -210,7 +224,7 @@
 		b.gone <- struct{}{}
 	case "garbage":
 		fmt.Fprint(c, "no answer at all\r\n\r\n")
-	case "events", "cut", "halfevent", "endless":
+	case "events", "slowevents", "comments", "drip", "cut", "halfevent", "endless":
 		return b.stream(c, r, id, word, rest)
 	default:
 		b.t.Errorf("unknown reply %q", reply)
@@ -218,6 +232,15 @@
 	return false
 }
 
+// endless sends bytes until the peer closes the connection.
+func endless(c net.Conn, first, more string) bool {
+	_, err := io.WriteString(c, first)
+	for err == nil {
+		_, err = io.WriteString(c, more)
+	}
+	return false
+}
+
 // stream sends events as chunks, and the final chunk only if the stream is complete.
 func (b *backends) stream(c net.Conn, r *bufio.Reader, id, word, span string) bool {
 	var from, to int
@@ -227,12 +250,22 @@
 	chunk := func(s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	for n := from; n <= to; n++ {
+		if word == "slowevents" && n > from {
+			time.Sleep(minSilenceLimit * 3 / 4)
+		}
 		chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", n, n))
 	}
 	switch word {
-	case "events":
+	case "events", "slowevents":
 		fmt.Fprint(c, "0\r\n\r\n")
 		return true
+	case "comments", "drip":
+		text := map[string]string{"comments": ": still here\n\n", "drip": "x"}[word]
+		var err error
+		for err == nil {
+			time.Sleep(50 * time.Millisecond)
+			_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		}
 	case "halfevent":
 		chunk(fmt.Sprintf("id: %d\nda", to+1))
 	case "endless":
--- /dev/null
+++ b/internal/forwarder/trouble_test.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestLateCopy checks that a copy of an answer which arrives while its connection is in use again does not
+// reach the next caller.
+func TestLateCopy(t *testing.T) {
+	for _, route := range []string{"safe", "never"} {
+		t.Run(route, func(t *testing.T) {
+			b := &backends{t: t, replies: []string{"copy", "ok"}}
+			e := startEntry(t, &fakeState{plan: testPlan(), servers: b.start(1)})
+			for i := range 3 {
+				r, err := http.NewRequest(http.MethodGet, "http://"+e.callers+"/"+route+"/a", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.Host = "a.example"
+				r.Header.Set("Id", fmt.Sprint("request-", i))
+				r.Header.Set("Authorization", "Key good")
+				resp, err := http.DefaultTransport.RoundTrip(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if strings.Contains(string(body), "copy") || resp.StatusCode == http.StatusOK && resp.Header.Get("Id") != r.Header.Get("Id") {
+					t.Errorf("request %d got status %d with another request's answer %q", i, resp.StatusCode, body)
+				}
+			}
+		})
+	}
+}
+
+// TestStalledStreams checks that slow streams are forwarded whole, and that streams which send only bytes
+// without data are resumed elsewhere soon after they stalled.
+func TestStalledStreams(t *testing.T) {
+	for _, c := range []struct {
+		first    string
+		arrivals int
+	}{{"slowevents 1 3", 1}, {"comments 1 1", 2}, {"drip 1 1", 2}} {
+		t.Run(c.first, func(t *testing.T) {
+			t.Parallel()
+			b := &backends{t: t, replies: []string{c.first, "events 2 3"}}
+			plan := testPlan()
+			for i := range plan.Routes {
+				plan.Routes[i].Timeout = 10 * time.Second
+			}
+			e := startEntry(t, &fakeState{plan: plan, servers: b.start(2)})
+			start := time.Now()
+			body, err := io.ReadAll(e.post(t, "/stream/a", "body").Body)
+			if err != nil {
+				t.Error(err)
+			}
+			var events []string
+			for _, m := range eventData.FindAllStringSubmatch(string(body), -1) {
+				events = append(events, m[1])
+			}
+			if diff := cmp.Diff([]string{"1", "2", "3"}, events); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(c.arrivals, len(b.seen())); diff != "" {
+				t.Errorf("arrivals (-want +got):\n%s", diff)
+			}
+			if took := time.Since(start); took > 2*minSilenceLimit {
+				t.Errorf("the stream took %v, want at most %v", took, 2*minSilenceLimit)
+			}
+		})
+	}
+}
