Let a few entries of a region read the store for the others

Cause: each entry of the large site watched four kinds for itself. Change: rendezvous hashing makes two entries of a region relays, one for each 16 in large regions. The others poll two of them, in different failure domains, for changes of backend servers, orders and shared objects, and for which revision of the plan is the newest as of when; they keep one long watch of the plan, whose text may be large. Freshness is the start of the own poll plus the time that the relay held it, less the age of its knowledge, by clocks that count suspension. Relays whose knowledge is older than half the time for a change (a setting) are not relied on; an entry watches for itself then. In an outage followers call the store every two seconds at most, for the relays tell of its return. Changes of the plan that follow each other are read 0.4 s apart (0.15 s before). An entry that changes its region or domain at the same address is noticed. Measured: TestHistories found, before this landed, that an object which came and went between two lists stayed at followers. TestRelaysSpareTheStore, TestEntryCutFromStore and TestRelaysFail play the loads; without relays the keys of an entry that is cut are stale after 4.7 s (TestKeysExpireInAnOutage).

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -76,9 +76,13 @@
 		return err
 	}
 	store := platform.NewStore(ps.Platform.Address)
+	var gossip *gossiper.Gossiper
+	relays := newRelays(s, func() []model.Instance { return gossip.Members() })
+	defer relays.pool.Close()
 	platformState := follower.New(follower.Config{
-		Store: store,
-		Kinds: follower.Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: sharedObjectKind},
+		Relays: relays.config(),
+		Store:  store,
+		Kinds:  follower.Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: sharedObjectKind},
 		Decode: follower.Decoder{
 			IsPlan: platform.IsManifestKey, Plan: platform.DecodePlan, Server: ps.DecodeServer, Order: platform.DecodeRollout,
 		},
@@ -91,7 +95,7 @@
 	quarantine := quarantiner.New(quarantiner.Config{Store: store, SharedKind: sharedObjectKind, Log: log})
 	platformState.OnSharedObject(func(o storer.Object) { quarantine.Merge(o, time.Now()) })
 	var f *forwarder.Forwarder
-	gossip := gossiper.New(gossiper.Config{
+	gossip = gossiper.New(gossiper.Config{
 		Self: s.Instance, Place: s.Place, Address: s.Gossip, Store: store, SharedKind: sharedObjectKind, Log: log,
 		Local:      func() map[model.BackendID]gossiper.OpenWork { return f.OpenWork() },
 		Broadcasts: rollouts.Broadcasts, OnBroadcast: rollouts.OnBroadcast,
@@ -115,6 +119,9 @@
 	} else {
 		wg.Go(func() { gossip.Run(runCtx, conn) })
 	}
+	if err := relays.serve(runCtx, &wg, platformState.Feed(), s.Gossip); err != nil {
+		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: cannot open the relay listener; other entries cannot follow this one")
+	}
 	wg.Go(func() {
 		d.watchSettings(runCtx, log, func(s model.DirectSettings) { platformState.SetMaxKeyAge(s.MaxKeyAge); f.SetRetryBudget(s.RetryBudget) })
 	})
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/relayer"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -32,6 +33,9 @@
 	Store  storer.Store
 	Kinds  Kinds
 	Decode Decoder
+	// Relays spreads what is read from the store among the entries of a region; nil if each entry watches for
+	// itself.
+	Relays *Relays
 	// MaxKeyAge is how long API keys count as fresh without an answer of the store; 0 sets no bound.
 	MaxKeyAge time.Duration
 	// Clock returns the time since boot, which also counts while the computer is suspended.
@@ -61,6 +65,10 @@
 	cancelWatchCtx context.CancelCauseFunc
 	// historyLostAt is when the store last reported that its history is gone.
 	historyLostAt time.Time
+	// feed holds the objects in the form in which they are passed on; updates serialises their application.
+	feed    *relayer.Feed
+	updates sync.Mutex
+	relayed relayState
 	// outageEnded is nil while the store answers. An outage sets it and closes it at its end.
 	outageEnded chan struct{}
 }
@@ -74,7 +82,13 @@
 		sharedObjects: map[string]storer.Object{},
 		listed:        map[string]bool{},
 		ready:         make(chan struct{}),
+		feed:          relayer.NewFeed(),
 	}
+	if cfg.Relays != nil {
+		f.relayed.relayWait = cfg.Relays.Timing.Wait
+	}
+	f.relayed.inactive = make(chan struct{})
+	close(f.relayed.inactive)
 	f.watchCtx, f.cancelWatchCtx = context.WithCancelCause(context.Background())
 	return f
 }
@@ -82,15 +96,23 @@
 // Run watches all kinds until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, s := range []subscription{
+	for _, s := range f.subscriptions() {
+		wg.Go(func() { f.followKind(ctx, s) })
+	}
+	if f.cfg.Relays != nil {
+		wg.Go(func() { f.followRelays(ctx) })
+	}
+	wg.Wait()
+}
+
+// subscriptions returns how each kind is watched. The kind of the plan is first.
+func (f *Follower) subscriptions() []subscription {
+	return []subscription{
 		{kind: f.cfg.Kinds.Plan, wait: planWait, gap: planGap, backoff: maxPlanBackoff, apply: f.applyPlan, confirm: f.confirm},
 		{kind: f.cfg.Kinds.Servers, wait: otherWait, gap: serversGap, backoff: maxBackoff, apply: f.applyServers},
 		{kind: f.cfg.Kinds.Orders, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applyOrders},
 		{kind: f.cfg.Kinds.Shared, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applySharedObjects},
-	} {
-		wg.Go(func() { f.followKind(ctx, s) })
 	}
-	wg.Wait()
 }
 
 func (f *Follower) setListed(kind string) {
@@ -104,9 +126,18 @@
 // of the call; that of a long watch is current as of its end, less the time in which it may have
 // missed changes.
 func (f *Follower) confirm(sent, answered time.Duration) {
+	f.confirmAsOf(max(sent, answered-missedEventWindow))
+}
+
+// confirmAsOf records that the plan in force was the newest as of a time since boot.
+func (f *Follower) confirmAsOf(at time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.confirmedAt, f.everConfirmed = max(sent, answered-missedEventWindow), true
+	if f.everConfirmed && at <= f.confirmedAt {
+		return
+	}
+	f.confirmedAt, f.everConfirmed = at, true
+	f.feed.Confirm(f.planRev, at)
 }
 
 // SetMaxKeyAge changes how long API keys count as fresh without an answer of the store; 0 sets no bound.
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
+	"github.com/bramleyhinge/bramleyhinge/internal/relayer"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -25,7 +26,7 @@
 	// planGap, serversGap and otherGap are the pauses after an answer with changes, so that several
 	// changes in quick succession cost one call. They are short compared with the time within which
 	// a change must be in force.
-	planGap    = 150 * time.Millisecond
+	planGap    = 400 * time.Millisecond
 	serversGap = 600 * time.Millisecond
 	otherGap   = 50 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pauses between calls to a store that fails. The plan's bound,
@@ -67,6 +68,11 @@
 	var lostAt time.Time
 	full, immediate, backoff := true, false, firstBackoff
 	for ctx.Err() == nil {
+		if s.confirm == nil && f.relayed.awaitInactive(ctx) {
+			// Relays told of changes meanwhile; what they did not tell comes at once.
+			from = max(from, f.feed.Revision(s.kind))
+			lostAt, backoff, immediate = time.Time{}, firstBackoff, true
+		}
 		sent := f.cfg.Clock()
 		listing, err := f.readKind(ctx, s, from, full, immediate || !lostAt.IsZero())
 		immediate = false
@@ -83,9 +89,11 @@
 			full = true
 			f.handleHistoryLoss(now)
 			continue
-		case errors.Is(err, errHistoryLost):
+		case errors.Is(err, errHistoryLost), errors.Is(err, errReadNow):
 			immediate = true
 			continue
+		case errors.Is(err, errRelayed):
+			continue
 		case err != nil:
 			if ctx.Err() != nil {
 				return
@@ -99,8 +107,8 @@
 					f.cancelWatches(errStoreLost)
 				}
 			}
-			pauser.Pause(ctx, backoff/2+rand.N(backoff))
-			backoff = min(2*backoff, s.backoff)
+			f.pauseAfterFailure(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, f.relayed.backoffLimit(s.backoff))
 			if s.confirm == nil {
 				f.awaitOutageEnd(ctx)
 			}
@@ -112,21 +120,38 @@
 			f.cfg.Log.Info().Str("kind", s.kind).Dur("away", now.Sub(lostAt)).Int64("revision", int64(listing.Revision)).Msg("follower: store regained")
 		}
 		lostAt, backoff = time.Time{}, firstBackoff
-		s.apply(batch{objects: listing.Objects, full: full, regained: regained}, now)
-		if full {
-			f.setListed(s.kind)
-		}
+		f.update(s, batch{objects: listing.Objects, full: full, regained: regained}, listing.Revision, now)
 		from, full = listing.Revision, false
 		if s.confirm != nil {
 			f.setOutage(false)
 			s.confirm(sent, answered)
 		}
 		if len(listing.Objects) > 0 {
-			pauser.Pause(ctx, s.gap)
+			pauser.Pause(ctx, f.relayed.gap(s))
 		}
 	}
 }
 
+// update applies changes of a kind up to a revision.
+func (f *Follower) update(s subscription, b batch, revision model.Revision, now time.Time) {
+	f.updates.Lock()
+	defer f.updates.Unlock()
+	if revision < f.feed.Revision(s.kind) {
+		// A relay was faster.
+		return
+	}
+	s.apply(b, now)
+	if s.confirm == nil {
+		f.feed.Apply(s.kind, relayer.Update{Revision: revision, Full: b.full, Objects: b.objects}, f.cfg.Clock())
+	}
+	if b.regained {
+		f.feed.Regain(f.cfg.Clock())
+	}
+	if b.full {
+		f.setListed(s.kind)
+	}
+}
+
 // awaitOutageEnd waits while the plan's calls fail, so that during an outage only the plan's watch
 // calls the store.
 func (f *Follower) awaitOutageEnd(ctx context.Context) {
@@ -162,6 +187,8 @@
 var (
 	errStoreLost   = errors.New("another watch found the store lost")
 	errHistoryLost = errors.New("another watch found the history gone")
+	errRelayed     = errors.New("relays tell of changes")
+	errReadNow     = errors.New("relays know a newer plan or fell silent")
 )
 
 // cancelWatches ends all watches, since their connections may have stopped responding.
@@ -199,13 +226,28 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(watchCtx, cancel)()
-	listing, err := f.cfg.Store.Watch(ctx, s.kind, from, s.wait)
-	if cause := context.Cause(watchCtx); err != nil && errors.Is(cause, errHistoryLost) {
+	wait := s.wait
+	if s.confirm != nil {
+		wait = f.relayed.planWait()
+	}
+	listing, err := f.cfg.Store.Watch(ctx, s.kind, from, wait)
+	if cause := context.Cause(watchCtx); err != nil && cause != nil && !errors.Is(cause, errStoreLost) {
 		return storer.Listing{}, cause
 	}
 	return listing, err
 }
 
+// pauseAfterFailure waits for d, or until a relay tells of a change that this entry must read.
+func (f *Follower) pauseAfterFailure(ctx context.Context, d time.Duration) {
+	f.mu.RLock()
+	news := f.watchCtx
+	f.mu.RUnlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(news, cancel)()
+	pauser.Pause(ctx, d)
+}
+
 func (f *Follower) readKind(ctx context.Context, s subscription, from model.Revision, full, immediate bool) (storer.Listing, error) {
 	switch {
 	case full:
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -85,6 +85,7 @@
 // member is another entry.
 type member struct {
 	addr      netip.AddrPort
+	place     model.Place
 	lastHeard time.Time
 	lastSent  time.Time
 	work      map[uint32]OpenWork
@@ -96,6 +97,7 @@
 type storedAddress struct {
 	Address string         `json:"address"`
 	Region  model.RegionID `json:"region"`
+	Domain  model.DomainID `json:"domain,omitempty"`
 }
 
 // New returns a Gossiper that knows no other entry.
@@ -128,18 +130,30 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	place := model.Place{Region: m.Region, Domain: m.Domain}
 	if old := g.members[model.InstanceID(name)]; old != nil {
-		if old.addr == addr {
+		if old.addr == addr && old.place == place {
 			return
 		}
 		delete(g.byAddr, old.addr)
 	}
-	e := &member{addr: addr, lastHeard: now, crossRegion: m.Region != g.cfg.Place.Region}
+	e := &member{addr: addr, place: place, lastHeard: now, crossRegion: m.Region != g.cfg.Place.Region}
 	g.members[model.InstanceID(name)] = e
 	g.byAddr[addr] = e
 	g.cfg.Log.Info().Str("entry", name).Str("address", m.Address).Msg("gossiper: address of another entry learned")
 }
 
+// Members returns the other entries of all regions, with the address at which they are reached.
+func (g *Gossiper) Members() []model.Instance {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	out := make([]model.Instance, 0, len(g.members))
+	for id, m := range g.members {
+		out = append(out, model.Instance{Instance: id, Role: model.RoleEntry, Control: m.addr.String(), Place: m.place})
+	}
+	return out
+}
+
 // RemoteWork returns the work that the other entries have open at a backend server.
 func (g *Gossiper) RemoteWork(b model.BackendID, now time.Time) OpenWork {
 	id := shortID(b)
@@ -183,7 +197,7 @@
 // is never removed: an entry that starts again has the same one, and the others send less often to
 // an entry that is gone.
 func (g *Gossiper) publishAddress(ctx context.Context) {
-	b, err := json.Marshal(storedAddress{Address: g.cfg.Address, Region: g.cfg.Place.Region})
+	b, err := json.Marshal(storedAddress{Address: g.cfg.Address, Region: g.cfg.Place.Region, Domain: g.cfg.Place.Domain})
 	if err != nil {
 		g.cfg.Log.Error().Err(err).Msg("gossiper: own address cannot be encoded")
 		return
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -163,7 +163,7 @@
 type DirectSettings struct {
 	Instance InstanceID
 	Place    Place
-	// Callers, Ready, Metrics and Gossip are addresses to listen on, Gossip for UDP and the others for
+	// Callers, Ready, Metrics and Gossip are addresses to listen on, Gossip for UDP and TCP and the others for
 	// TCP; an empty Metrics or Gossip turns that listener off.
 	Callers string
 	Ready   string
@@ -175,7 +175,9 @@
 	Grace time.Duration
 	// MaxKeyAge is the longest time that cached keys stay valid without confirmation from the store;
 	// 0 means no limit.
-	MaxKeyAge   time.Duration
+	MaxKeyAge time.Duration
+	// ApplyWithin is how long a change may take until it is in force; 0 selects the built-in default.
+	ApplyWithin time.Duration
 	RetryBudget RetryBudgetSettings
 	// Exposure is the largest share of a service's requests, over the duration of a roll-out, that a bad
 	// version may get; 0 selects the built-in default.
