--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/standin"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -84,6 +85,22 @@
 	}
 }
 
+// TestMemberChangesRegion checks that an entry which comes back in another region at the same address is an entry
+// of that region.
+func TestMemberChangesRegion(t *testing.T) {
+	g := New(Config{Self: "e0", Place: model.Place{Region: "lake"}, SharedKind: "marks", Log: zerolog.Nop()})
+	for _, region := range []string{"lake", "hill"} {
+		value := fmt.Sprintf(`{"address":"127.0.0.1:7","region":%q}`, region)
+		g.UpdateMember(storer.Object{Key: "marks/entry.e1", Value: []byte(value)}, time.Unix(1000, 0))
+	}
+	if diff := cmp.Diff(model.RegionID("hill"), g.Members()[0].Place.Region); diff != "" {
+		t.Errorf("region (-want +got):\n%s", diff)
+	}
+	if got := g.recipients(false, time.Unix(1000, 0)); len(got) != 0 {
+		t.Errorf("work is sent to %v in another region", got)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Backlog: time.Second}, "b": {}}))
 	f.Add([]byte{messageWork, 1, 2, 3})
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -168,6 +169,8 @@
 			m.Servers = append(m.Servers, b)
 		}
 	}
+	// An unchanged set must have the same stored form, so that it is not written again.
+	slices.Sort(m.Servers)
 	return m
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/standin"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
 // TestBanIsShared checks that all entries refuse a request once it has crashed three backend servers,
@@ -72,3 +74,32 @@
 		}
 	}
 }
+
+// TestUnchangedSuspectIsNotWritten checks that an entry which learns nothing new of a suspect does not write it
+// again: each write wakes the watches of all entries.
+func TestUnchangedSuspectIsNotWritten(t *testing.T) {
+	platform := standin.NewPlatform()
+	q := New(Config{Store: platform, SharedKind: "marks", Log: zerolog.Nop()})
+	for i := range 12 {
+		q.addCrashes(7, []model.BackendID{model.BackendID(fmt.Sprint("b", i))}, time.Now())
+	}
+	if err := q.write(t.Context(), q.key(7), 7); err != nil {
+		t.Fatal(err)
+	}
+	first, err := platform.Get(t.Context(), q.key(7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		if err := q.write(t.Context(), q.key(7), 7); err != nil {
+			t.Fatal(err)
+		}
+	}
+	last, err := platform.Get(t.Context(), q.key(7))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(first, last); diff != "" {
+		t.Errorf("object after further writes (-first +last):\n%s", diff)
+	}
+}
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -15,7 +16,7 @@
 	"time"
 )
 
-// maxLineBytes is the scanner's limit for one log line; Read fails on a line beyond it.
+// maxLineBytes is the size of the longest log line that is parsed.
 const maxLineBytes = 1 << 20
 
 // Line is one line of a structured log.
@@ -38,12 +39,7 @@
 func Read(readers ...io.Reader) (*Log, error) {
 	l := &Log{requests: map[string][]Line{}}
 	for _, r := range readers {
-		s := bufio.NewScanner(r)
-		s.Buffer(make([]byte, 64<<10), maxLineBytes)
-		for s.Scan() {
-			l.add(s.Bytes())
-		}
-		if err := s.Err(); err != nil {
+		if err := l.read(bufio.NewReaderSize(r, 64<<10)); err != nil {
 			return nil, fmt.Errorf("read log: %w", err)
 		}
 	}
@@ -54,6 +50,34 @@
 	return l, nil
 }
 
+// read parses lines until the end; lines over maxLineBytes count as unparsed.
+func (l *Log) read(r *bufio.Reader) error {
+	var line []byte
+	length := 0
+	for {
+		part, err := r.ReadSlice('\n')
+		length += len(part)
+		if length <= maxLineBytes {
+			line = append(line, part...)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if length > maxLineBytes {
+			l.Unparsed++
+		} else if len(bytes.TrimSpace(line)) > 0 {
+			l.add(line)
+		}
+		line, length = line[:0], 0
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // sortLines orders lines by time; lines with equal times keep their order in the log.
 func sortLines(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
@@ -163,8 +187,14 @@
 // failureCause returns why a request failed, or "" if its lines report no failure.
 func failureCause(lines []Line) string {
 	var outcomes []string
-	out := ""
+	out, sent, closed := "", false, false
 	for _, line := range lines {
+		switch line.Message {
+		case "forwarder: placed":
+			sent = true
+		case "forwarder: refused", "forwarder: the answer broke off midway", "forwarder: the caller left", "forwarder: ended":
+			closed = true
+		}
 		switch line.Message {
 		case "forwarder: attempt failed":
 			outcomes = append(outcomes, fmt.Sprint(line.Fields["fate"]))
@@ -182,6 +212,9 @@
 			}
 		}
 	}
+	if sent && !closed {
+		out = "no outcome is logged: its entry ended, or it is still running"
+	}
 	if out != "" && len(outcomes) > 0 {
 		out += ", after " + strings.Join(outcomes, ", ")
 	}
--- a/internal/tracer/tracer_test.go
+++ b/internal/tracer/tracer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -45,6 +46,30 @@
 	}
 }
 
+// TestLongLine checks that a line which is too long costs only itself.
+func TestLongLine(t *testing.T) {
+	line := `{"time":"2026-12-04T10:00:00Z","instance":"e1","request":"r1","message":"forwarder: refused","kind":"busy","status":503}`
+	l, err := Read(strings.NewReader(line + "\n" + strings.Repeat("x", maxLineBytes+1) + "\n" + strings.ReplaceAll(line, "r1", "r2")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int{2, 1}, []int{len(l.requests), l.Unparsed}); diff != "" {
+		t.Errorf("requests and unparsed lines (-want +got):\n%s", diff)
+	}
+}
+
+// TestRequestWithoutOutcome checks that a request whose entry ended before its answer counts as failed.
+func TestRequestWithoutOutcome(t *testing.T) {
+	l, err := Read(strings.NewReader(`{"time":"2026-12-04T10:00:00Z","instance":"e1","request":"r1","message":"forwarder: placed","backend":"b1"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []FailureGroup{{Cause: "no outcome is logged: its entry ended, or it is still running", Count: 1, Examples: []string{"r1"}}}
+	if diff := cmp.Diff(want, l.FailureGroups()); diff != "" {
+		t.Errorf("groups (-want +got):\n%s", diff)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	b, err := os.ReadFile("testdata/log.txt")
 	if err != nil {
