Tell callers who left in the middle of a stream from answers that broke off

Change: a request whose caller left is logged as such, with the last event, and counted in left/ROUTE, also after part of its answer was delivered.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -254,6 +254,16 @@
 			case <-time.After(500 * time.Millisecond):
 				t.Error("the backend server still works half a second after the caller disconnected")
 			}
+			var counted strings.Builder
+			for end := time.Now().Add(time.Second); !strings.Contains(counted.String(), "_left{") && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				counted.Reset()
+				if err := e.cfg.Meter.WriteText(&counted); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !strings.Contains(counted.String(), "_left{") || strings.Contains(counted.String(), "_cut{") {
+				t.Errorf("the request does not count as one whose caller left:\n%s", counted.String())
+			}
 		})
 	}
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -56,6 +56,7 @@
 func (f *Forwarder) runAttempts(ctx context.Context, c *call, w http.ResponseWriter) {
 	c.tried = map[model.BackendID]bool{}
 	out := &answerWriter{w: w}
+	left := false
 	last := model.Refuse(model.KindNoBackend, "no backend server is ready").WithRetry(time.Second)
 	for {
 		now := time.Now()
@@ -78,6 +79,7 @@
 		if fail == nil {
 			return
 		}
+		left = fail.kind == failureLeft && time.Now().Before(c.deadline)
 		refusal, retry := f.handleFailure(ctx, c, p, fail)
 		if refusal != nil {
 			last = mergeRefusals(last, refusal)
@@ -86,12 +88,13 @@
 			break
 		}
 	}
-	if c.delivered {
-		f.recordBreakOff(c, last)
+	if left || callerLeft(ctx) {
+		f.cfg.Meter.Count("left/"+string(c.route.Route), 1)
+		f.cfg.Log.Info().Str("request", c.id).Str("last", c.lastEvent).Int("sent", c.sent).Dur("took", time.Since(c.start)).Msg("forwarder: the caller left")
 		out.abort()
 	}
-	if callerLeft(ctx) {
-		f.cfg.Log.Info().Str("request", c.id).Int("sent", c.sent).Msg("forwarder: the caller left")
+	if c.delivered {
+		f.recordBreakOff(c, last)
 		out.abort()
 	}
 	f.refuse(w, c, last)
