Let relays that nobody follows watch the plan as before

Cause: in a region of two entries both are relays. Change: short waits only while another entry polled within five seconds. Measured: TestSmallRegion fails without the change (14 calls in 6 s, at most 8).

--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -67,14 +67,14 @@
 	pause time.Duration
 }
 
-// planWait returns the longest wait of one watch of the plan.
-func (r *relayState) planWait() time.Duration {
+// planWait returns the longest wait of one watch of the plan; followed says whether other entries depend on it.
+func (r *relayState) planWait(followed bool) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case r.active:
 		return otherWait
-	case r.relay:
+	case r.relay && followed:
 		return r.relayWait
 	}
 	return planWait
--- a/internal/follower/relay_test.go
+++ b/internal/follower/relay_test.go
@@ -315,3 +315,23 @@
 		return cmp.Equal(want, got)
 	})
 }
+
+// TestSmallRegion checks that entries whom nobody follows do not watch the plan more often than without relays.
+func TestSmallRegion(t *testing.T) {
+	t.Parallel()
+	fl := startFleet(t, 2)
+	time.Sleep(planWait)
+	var before int64
+	for _, s := range fl.stores {
+		before += s.calls.Load()
+	}
+	const watched = 3 * planWait
+	time.Sleep(watched)
+	var after int64
+	for _, s := range fl.stores {
+		after += s.calls.Load()
+	}
+	if limit := int64(len(fl.stores)) * int64(watched/planWait+1); after-before > limit {
+		t.Errorf("%d calls in %v, want at most %d", after-before, watched, limit)
+	}
+}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -228,7 +228,7 @@
 	defer context.AfterFunc(watchCtx, cancel)()
 	wait := s.wait
 	if s.confirm != nil {
-		wait = f.relayed.planWait()
+		wait = f.relayed.planWait(f.feed.IsFollowed(f.cfg.Clock()))
 	}
 	listing, err := f.cfg.Store.Watch(ctx, s.kind, from, wait)
 	if cause := context.Cause(watchCtx); err != nil && cause != nil && !errors.Is(cause, errStoreLost) {
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -13,6 +13,9 @@
 // tombstoneTime is how long a removed object is remembered; pollers that come later get all objects.
 const tombstoneTime = time.Minute
 
+// followedTime is how long an entry counts as followed after the last poll of another one.
+const followedTime = 5 * time.Second
+
 // Feed holds the newest state of the objects that an entry knows, in the form in which it passes them on.
 type Feed struct {
 	mu    sync.Mutex
@@ -24,6 +27,9 @@
 	// regainedAt is when the store answered again after its last outage.
 	regainedAt time.Duration
 	regained   bool
+	// polledAt is when another entry last polled this one.
+	polledAt time.Duration
+	polled   bool
 	// changed is closed at the next change or confirmation.
 	changed chan struct{}
 }
@@ -129,6 +135,13 @@
 	f.wake()
 }
 
+// IsFollowed reports whether another entry polled this one lately; now is a time since boot.
+func (f *Feed) IsFollowed(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polled && now-f.polledAt < followedTime
+}
+
 // Regain records that the store answered again at a time since boot after an outage.
 func (f *Feed) Regain(at time.Duration) {
 	f.mu.Lock()
--- a/internal/relayer/poll.go
+++ b/internal/relayer/poll.go
@@ -59,6 +59,7 @@
 	first, waiting := time.Duration(0), true
 	for round := 0; ; round++ {
 		f.mu.Lock()
+		f.polledAt, f.polled = arrived, true
 		reply := f.reply(in)
 		if round == 0 {
 			first = f.confirmedAt
