--- a/internal/measurer/bench_test.go
+++ b/internal/measurer/bench_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// BenchmarkSlopes reports the slopes that docs/CAPACITY.md lists.
+// BenchmarkSlopes reports the slopes that docs/design/capacity.md lists.
 func BenchmarkSlopes(b *testing.B) {
 	for range b.N {
 		s, err := MeasureSlopes()
--- a/internal/measurer/capacity.go
+++ b/internal/measurer/capacity.go
@@ -281,7 +281,7 @@
 		perEntry, formatNumber(c.slopes.Get("token time")), cores, cores/(sizeEntries+sizeReplicas), sizeEntries+sizeReplicas)
 }
 
-const capacityIntro = `# Capacity
+const capacityIntro = `# Capacity of the own deployment
 
 What each role needs at the size of the users' first letter: %.0f nodes before %.0f replicas
 in %.0f failure domains and %.0f regions, %.0f requests/s, %.1f M tokens/s, %.0f changes a day.
@@ -289,7 +289,7 @@
 
 Regenerate this page with
 
-    go run ./cmd/measure capacity > docs/CAPACITY.md
+    go run ./cmd/measure capacity > docs/design/capacity.md
 
 which measures the slopes on the machine it runs on (the same functions are benchmarks:
 go test -bench Slopes ./internal/measurer) and redoes the arithmetic below. Last run: %s.
