Give each failure domain a relay and ask the second one for changes only in need

Each entry got each change twice, mostly from another domain. Change: relays are chosen for each failure domain, one for each 16 entries; an entry asks a relay of its own domain for changes, and one of another domain only how old its knowledge is, unless the first has been silent or stale for a second. TestRelaysFail plays the loss of the first relay alone.

--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -24,6 +24,9 @@
 	// firstRelayPause and maxRelayPause bound how long a relay that did not answer is left out.
 	firstRelayPause = 5 * time.Second
 	maxRelayPause   = time.Minute
+	// firstRelayTime is how long the relay of the first slot may be silent until the second one is asked for changes
+	// too. Polls of the first are held for less than half of it.
+	firstRelayTime = time.Second
 	// minPollInterval bounds the rate of polls that are answered at once.
 	minPollInterval = 50 * time.Millisecond
 )
@@ -52,6 +55,8 @@
 	// asOf is the time since boot as of which relays have told of changes, answered when one last answered.
 	asOf, answered time.Duration
 	heard          bool
+	// firstGoodAt is when the relay of the first slot last answered with fresh knowledge.
+	firstGoodAt time.Duration
 	// active is set while relays tell of changes, so that own watches other than the plan's rest; inactive is
 	// closed while it is not set.
 	active   bool
@@ -155,12 +160,27 @@
 	return out
 }
 
-// succeed records an answer of a relay whose knowledge is as of a time since boot.
-func (r *relayState) succeed(id model.InstanceID, asOf, now time.Duration) {
+// succeed records an answer of a relay, whose knowledge is as of a time since boot, to a poll of a slot. Told
+// reports whether the poll asked for changes.
+func (r *relayState) succeed(id model.InstanceID, slot int, told bool, asOf, now time.Duration, maxAge time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.failed, id)
-	r.asOf, r.answered, r.heard = max(r.asOf, asOf), now, true
+	r.answered, r.heard = now, true
+	if told {
+		r.asOf = max(r.asOf, asOf)
+	}
+	if slot == 0 && now-asOf < maxAge {
+		r.firstGoodAt = now
+	}
+}
+
+// asksForChanges reports whether a poll of a slot asks for changes as well as for the age of knowledge. The second
+// relay, in another failure domain, is asked for them only while the first one does not answer or is stale.
+func (r *relayState) asksForChanges(slot int, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slot == 0 || now-r.firstGoodAt > firstRelayTime
 }
 
 // isBehind records whether a relay knows a newer plan, and reports whether this entry has lacked it for longer than
@@ -240,9 +260,12 @@
 			continue
 		}
 		relay := choice.Ask[slot]
-		in := relayer.PollRequest{Known: map[string]model.Revision{}}
-		for _, s := range f.subscriptions()[1:] {
-			in.Known[s.kind] = f.feed.Revision(s.kind)
+		in := relayer.PollRequest{}
+		if f.relayed.asksForChanges(slot, sent) {
+			in.Known = map[string]model.Revision{}
+			for _, s := range f.subscriptions()[1:] {
+				in.Known[s.kind] = f.feed.Revision(s.kind)
+			}
 		}
 		reply, err := f.cfg.Relays.Poll(ctx, relay.Control, in)
 		if ctx.Err() != nil {
@@ -255,13 +278,13 @@
 			continue
 		}
 		f.cfg.Meter.Count("relays/polls_answered", 1)
-		f.applyReply(relay.Instance, reply, sent)
+		f.applyReply(relay.Instance, slot, in, reply, sent)
 		pauser.Pause(ctx, minPollInterval-(f.cfg.Clock()-sent))
 	}
 }
 
 // applyReply applies what a relay told in answer to a poll that was sent at a time since boot.
-func (f *Follower) applyReply(relay model.InstanceID, reply relayer.PollReply, sent time.Duration) {
+func (f *Follower) applyReply(relay model.InstanceID, slot int, in relayer.PollRequest, reply relayer.PollReply, sent time.Duration) {
 	now, sinceBoot := time.Now(), f.cfg.Clock()
 	if !reply.Confirmed {
 		return
@@ -273,7 +296,7 @@
 		}
 	}
 	asOf := reply.AsOf(sent)
-	f.relayed.succeed(relay, asOf, sinceBoot)
+	f.relayed.succeed(relay, slot, in.Known != nil, asOf, sinceBoot, f.cfg.Relays.Timing.MaxAge)
 	behind := !f.confirmRelayed(reply.Plan, asOf)
 	if f.relayed.isBehind(behind, sinceBoot) {
 		f.cfg.Log.Info().Str("relay", string(relay)).Int64("revision", int64(reply.Plan)).Msg("follower: a relay knows a newer plan, reading it")
--- a/internal/follower/relay_test.go
+++ b/internal/follower/relay_test.go
@@ -255,6 +255,25 @@
 			})
 		})
 	}
+	t.Run("first relay", func(t *testing.T) {
+		t.Parallel()
+		for _, fail := range []func(fl *fleet, i int){
+			func(fl *fleet, i int) { fl.silent[i].Store(true) },
+			func(fl *fleet, i int) { fl.stores[i].setCut(true) },
+		} {
+			fl := startFleet(t, 6)
+			fail(fl, fl.relays()[0])
+			fl.put(t, "servers/b2", string(model.BackendReady))
+			await(t, "the new server", bound, func() bool {
+				for _, i := range fl.pollers() {
+					if !fl.knows(i, "b2") {
+						return false
+					}
+				}
+				return len(fl.pollers()) > 0
+			})
+		}
+	})
 	t.Run("outage", func(t *testing.T) {
 		t.Parallel()
 		fl := startFleet(t, 6)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -14,7 +14,7 @@
 const (
 	// minRelays is the number of relays of a small region.
 	minRelays = 2
-	// entriesPerRelay is the number of entries of a large region for each of its relays.
+	// entriesPerRelay is the number of entries of a large failure domain for each of its relays.
 	entriesPerRelay = 16
 	// AskedRelays is the number of relays that an entry polls at a time.
 	AskedRelays = 2
@@ -65,14 +65,14 @@
 type Choice struct {
 	// Relay is set if the entry is a relay itself: it watches the store.
 	Relay bool
-	// Ask holds the relays that the entry polls otherwise, at most two; the second is in another failure
-	// domain than the first if there is one.
+	// Ask holds the relays that the entry polls otherwise, at most two. The first is in the own failure domain if
+	// that has one, since bytes between domains are dear; the second is in another one if there is one.
 	Ask []model.Instance
 }
 
-// Choose ranks the entries of the own region by rendezvous hashing; the first ones are its relays. Entries
-// with different views may choose different relays, which costs calls and breaks nothing. It is made for
-// fleets of hundreds of entries, which would spend the store's rate if each watched for itself.
+// Choose ranks the entries of each failure domain of the own region by rendezvous hashing; the first ones are its
+// relays. Entries with different views may choose different relays, which costs calls and breaks nothing. It is
+// made for fleets of hundreds of entries, which would spend the store's rate if each watched for itself.
 func Choose(in ChooseInput, now time.Time) Choice {
 	live := []model.Instance{in.Self}
 	for _, m := range in.Members {
@@ -80,26 +80,47 @@
 			live = append(live, m)
 		}
 	}
-	n := max(minRelays, (len(live)+entriesPerRelay-1)/entriesPerRelay)
-	relays := spread(registrar.Rank("relay", live), n)
+	relays := chooseRelays(live)
 	for _, r := range relays {
 		if r.Instance == in.Self.Instance {
 			return Choice{Relay: true}
 		}
 	}
-	return Choice{Ask: spread(registrar.Rank(string(in.Self.Instance), relays), AskedRelays)}
+	return Choice{Ask: askedRelays(registrar.Rank(string(in.Self.Instance), relays), in.Self.Place.Domain)}
 }
 
-// spread returns the first n ranked entries. If all are in one failure domain, the first entry of another one
-// takes the place of the last.
-func spread(ranked []model.Instance, n int) []model.Instance {
-	out := slices.Clone(ranked[:min(n, len(ranked))])
-	elsewhere := func(m model.Instance) bool { return m.Place.Domain != ranked[0].Place.Domain }
-	if len(out) < 2 || slices.ContainsFunc(out, elsewhere) {
-		return out
+// chooseRelays returns the relays of a region's entries: one for each entriesPerRelay of a domain, at least one
+// of each domain and minRelays in all.
+func chooseRelays(live []model.Instance) []model.Instance {
+	ranked := registrar.Rank("relay", live)
+	entries := map[model.DomainID]int{}
+	for _, m := range ranked {
+		entries[m.Place.Domain]++
 	}
-	if i := slices.IndexFunc(ranked, elsewhere); i >= 0 {
-		out[len(out)-1] = ranked[i]
+	var relays, others []model.Instance
+	chosen := map[model.DomainID]int{}
+	for _, m := range ranked {
+		d := m.Place.Domain
+		if chosen[d]*entriesPerRelay < entries[d] {
+			chosen[d]++
+			relays = append(relays, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	missing := min(max(minRelays-len(relays), 0), len(others))
+	return append(relays, others[:missing]...)
+}
+
+// askedRelays returns the first ranked relay of a domain, or of all if it has none, and the next one in another
+// domain than that, or the next one.
+func askedRelays(ranked []model.Instance, own model.DomainID) []model.Instance {
+	first := max(slices.IndexFunc(ranked, func(m model.Instance) bool { return m.Place.Domain == own }), 0)
+	ask := []model.Instance{ranked[first]}
+	rest := slices.Delete(slices.Clone(ranked), first, first+1)
+	if len(rest) == 0 {
+		return ask
 	}
-	return out
+	second := max(slices.IndexFunc(rest, func(m model.Instance) bool { return m.Place.Domain != ask[0].Place.Domain }), 0)
+	return append(ask, rest[second])
 }
