--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -117,7 +117,7 @@
 func (f *Forwarder) deliverLongBody(ctx context.Context, c *call, rep *reply, out *answerWriter, buffered []byte) *failure {
 	out.writeHead(rep, rep.ContentLength)
 	c.delivered = true
-	rest := rep.Body.(io.Reader)
+	var rest io.Reader = rep.Body
 	if rep.ContentLength < 0 {
 		rest = io.LimitReader(rest, maxUnsizedBytes)
 	}
