Do not count writing to a slow caller as silence of the backend server

The time of writing it to a caller that does not read counted as silence, so that a sound stream was given up and resumed elsewhere after two seconds. Measured: TestSlowCaller, two arrivals at backend servers before, one after.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -176,8 +176,9 @@
 			rep.closeConn()
 			return classifyError(ctx, err)
 		}
-		if len(splitter.Data(event)) > 0 {
-			// Comments do not count: a stalled backend server may go on sending them.
+		// Comments do not count: a stalled backend server may go on sending them.
+		hasData := len(splitter.Data(event)) > 0
+		if hasData {
 			lastData = time.Now()
 		}
 		if awaitingFirst {
@@ -210,6 +211,10 @@
 			rep.closeConn()
 			return &failure{kind: failureLeft, cause: err}
 		}
+		if hasData {
+			// The time of writing to a slow caller is no silence of the backend server.
+			lastData = time.Now()
+		}
 	}
 	now := time.Now()
 	if !out.started {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -224,7 +224,7 @@
 		b.gone <- struct{}{}
 	case "garbage":
 		fmt.Fprint(c, "no answer at all\r\n\r\n")
-	case "events", "slowevents", "comments", "drip", "cut", "halfevent", "endless":
+	case "events", "slowevents", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
 		return b.stream(c, r, id, word, rest)
 	default:
 		b.t.Errorf("unknown reply %q", reply)
@@ -253,10 +253,14 @@
 		if word == "slowevents" && n > from {
 			time.Sleep(minSilenceLimit * 3 / 4)
 		}
-		chunk(fmt.Sprintf("id: %d\ndata: %d\n\n", n, n))
+		padding := ""
+		if word == "bigevents" {
+			padding = strings.Repeat("x", 512<<10)
+		}
+		chunk(fmt.Sprintf("id: %d\ndata: %d%s\n\n", n, n, padding))
 	}
 	switch word {
-	case "events", "slowevents":
+	case "events", "slowevents", "bigevents":
 		fmt.Fprint(c, "0\r\n\r\n")
 		return true
 	case "comments", "drip":
--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -79,3 +79,25 @@
 		})
 	}
 }
+
+// TestSlowCaller checks that a stream is not taken for silent while its caller does not read: the time of writing
+// to the caller is no silence of the backend server.
+func TestSlowCaller(t *testing.T) {
+	t.Parallel()
+	const events = 40
+	b := &backends{t: t, replies: []string{fmt.Sprint("bigevents 1 ", events)}}
+	plan := testPlan()
+	for i := range plan.Routes {
+		plan.Routes[i].Timeout = 20 * time.Second
+	}
+	e := startEntry(t, &fakeState{plan: plan, servers: b.start(2)})
+	resp := e.post(t, "/stream/a", "body")
+	time.Sleep(minSilenceLimit + 500*time.Millisecond)
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff([]int{events, 1}, []int{strings.Count(string(body), "data: "), len(b.seen())}); diff != "" {
+		t.Errorf("events and arrivals (-want +got):\n%s", diff)
+	}
+}
