Log each crash of a backend server with the parts of the prompt

Each confirmed crash now gives one line with the request's fingerprint and the shared parts of its prompt, and counts in bramleyhinge_crashes by route. No decision changes. go test ./internal/logger and ./internal/forwarder pass.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -80,6 +80,8 @@
 	// sharedPrefix identifies the longest prefix that other requests share, sharedTokens is its length.
 	sharedPrefix string
 	sharedTokens int
+	// parts lists the ids of the parts that other requests may share, in order.
+	parts []string
 }
 
 // readRequest validates a request and reads its body; release frees the memory reserved for the body.
@@ -225,6 +227,7 @@
 	for _, part := range parts[:len(parts)-1] {
 		name, n, _ := strings.Cut(strings.TrimSpace(part), ":")
 		p.sharedPrefix = name
+		p.parts = append(p.parts, name)
 		if tokens, err := strconv.Atoi(n); err == nil {
 			p.sharedTokens += max(tokens, 0)
 		}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
@@ -128,7 +129,7 @@
 			f.cfg.Versions.Observe(f.outcome(c, p, true, now), now)
 		}
 		if fail.kind == failureBroken && !c.delivered {
-			go f.confirmCrash(c.fingerprint, p)
+			go f.confirmCrash(c, p)
 		}
 		f.cfg.Meter.Count("attempts_failed/"+string(fail.kind), 1)
 		f.cfg.Log.Warn().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fate", string(fail.kind)).AnErr("cause", fail.cause).
@@ -167,14 +168,17 @@
 
 // confirmCrash dials a backend server whose answer broke off and records a crash only if it is unreachable:
 // a lost answer or a reset connection alone is no crash.
-func (f *Forwarder) confirmCrash(fingerprint uint64, p *peer) {
+func (f *Forwarder) confirmCrash(c *call, p *peer) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	cn, err := dial(ctx, p.server.Address)
 	now := time.Now()
 	if err != nil {
 		p.failed(true, now)
-		f.cfg.Quarantine.RecordCrash(fingerprint, p.server.Backend, now)
+		f.cfg.Meter.Count("crashes/"+string(c.route.Route), 1)
+		f.cfg.Log.Warn().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fingerprint", strconv.FormatUint(c.fingerprint, 16)).
+			Str("parts", strings.Join(c.prompt.parts, ",")).AnErr("cause", err).Msg("forwarder: a backend server crashed while it ran the request")
+		f.cfg.Quarantine.RecordCrash(c.fingerprint, p.server.Backend, now)
 		return
 	}
 	cn.idleSince, cn.usableUntil = now, now.Add(defaultKeepAlive)
