Reproduce crashes by a part of a prompt in the soak; list them as red

A crashed backend server of the soak now refuses connections; before, its proxy accepted and reset them, which no dial takes for a crash.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -25,7 +25,9 @@
 type record struct {
 	ID, Route, Key, Entry string
 	Path                  string
-	Body                  []byte
+	// Part is the part of the prompt that crashes backend servers, empty for a sound request.
+	Part string
+	Body []byte
 	// LastEvent is the ID of the last event that the caller claims to have received, 0 if none.
 	LastEvent int
 	// Sent is when the caller had written the whole request, Ended when the response ended.
@@ -48,8 +50,10 @@
 
 // caller sends requests to one entry and reuses its connection until the entry closes it or a request fails.
 type caller struct {
-	entry   *entry
-	seed    uint64
+	entry *entry
+	seed  uint64
+	// part is the part of all prompts that crashes backend servers; empty for a caller of sound requests.
+	part    string
 	nextKey func(now time.Time) string
 	results chan<- record
 	conn    net.Conn
@@ -88,11 +92,26 @@
 	c.closeConn()
 }
 
+// runOnce sends one request on a connection of its own.
+func (c *caller) runOnce() {
+	rng := rand.New(rand.NewPCG(c.seed, 3))
+	rec := c.newRecord(rng, 0)
+	if c.connect() != nil {
+		return
+	}
+	defer c.closeConn()
+	c.send(&rec, rng)
+	c.results <- rec
+}
+
 // newRecord draws the n-th request of the caller.
 func (c *caller) newRecord(rng *rand.Rand, n int) record {
 	route := routes[rng.IntN(len(routes))]
+	if c.part != "" {
+		route = routeByName("chat")
+	}
 	rec := record{
-		ID: fmt.Sprintf("%x-%d-%x", c.seed, n, rng.Uint32()), Route: route.Name, Entry: c.entry.Name,
+		ID: fmt.Sprintf("%x-%d-%x", c.seed, n, rng.Uint32()), Route: route.Name, Entry: c.entry.Name, Part: c.part,
 		Path: fmt.Sprintf("%s%d", route.Prefix, rng.IntN(100)), TimeLimit: plainTimeLimit,
 	}
 	if len(route.Models) > 0 {
@@ -136,7 +155,11 @@
 	// Only the entry may set the organisation header; a caller's value must not reach backend servers.
 	fmt.Fprintf(&b, "%s: forged\r\n", names.Organisation)
 	if rec.TimeLimit == streamTimeLimit {
-		fmt.Fprintf(&b, "%s: *\r\n%s: 900,80\r\n%s: aa:400,%x:500\r\n%s: s%d\r\n", names.Model, names.Usage, names.Prefix, rng.Uint32(), names.Session, rng.IntN(50))
+		shared := "aa:400,"
+		if rec.Part != "" {
+			shared += rec.Part + ":100,"
+		}
+		fmt.Fprintf(&b, "%s: *\r\n%s: 900,80\r\n%s: %s%x:500\r\n%s: s%d\r\n", names.Model, names.Usage, names.Prefix, shared, rng.Uint32(), names.Session, rng.IntN(50))
 	}
 	if rec.LastEvent > 0 {
 		fmt.Fprintf(&b, "%s: %d\r\n", names.LastEventID, rec.LastEvent)
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -20,7 +20,7 @@
 )
 
 // inject injects one fault, waits until it has ended and adds its time span to the history.
-func (s *soak) inject(ctx context.Context, inj injection) {
+func (s *soak) inject(ctx context.Context, inj Injection) {
 	e := s.entries[inj.Pick%len(s.entries)]
 	srv := s.servers[inj.Pick%len(s.servers)]
 	start := time.Now()
@@ -34,6 +34,8 @@
 		s.injectServerFault(ctx, inj, srv)
 	case storeBusy, storeSlow, storeLost, storeForget:
 		s.injectStoreFault(ctx, inj)
+	case promptCrash:
+		s.sendCrashingRequests(ctx, inj)
 	case planChange, keyRevoke:
 		s.changePlan(inj)
 	}
@@ -42,7 +44,7 @@
 	})
 }
 
-func (s *soak) injectEntryFault(ctx context.Context, inj injection, e *entry) {
+func (s *soak) injectEntryFault(ctx context.Context, inj Injection, e *entry) {
 	switch inj.Kind {
 	case entryKill, entryStop:
 		e.faultMu.Lock()
@@ -94,7 +96,7 @@
 	serverBusy: {Busy: true}, serverSurplus: {TrailingBytesRate: faultRate},
 }
 
-func (s *soak) injectServerFault(ctx context.Context, inj injection, srv *serverSlot) {
+func (s *soak) injectServerFault(ctx context.Context, inj Injection, srv *serverSlot) {
 	switch inj.Kind {
 	case serverCrash:
 		srv.faultMu.Lock()
@@ -130,7 +132,7 @@
 	}
 }
 
-func (s *soak) injectStoreFault(ctx context.Context, inj injection) {
+func (s *soak) injectStoreFault(ctx context.Context, inj Injection) {
 	switch inj.Kind {
 	case storeBusy:
 		s.store.SetFaults(standin.StoreFaults{Busy: true})
@@ -150,7 +152,7 @@
 }
 
 // changePlan publishes a new version of the plan, without one of the keys if the fault revokes a key.
-func (s *soak) changePlan(inj injection) {
+func (s *soak) changePlan(inj Injection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.plan.Version += 1 + inj.Pick%5
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -34,6 +34,7 @@
 	serverSilent  fault = "server-silent"
 	serverOneWay  fault = "server-one-way"
 	serverReset   fault = "server-reset"
+	promptCrash   fault = "prompt-crashes"
 	planChange    fault = "plan-changes"
 	keyRevoke     fault = "key-revoked"
 )
@@ -43,11 +44,11 @@
 	entryKill, entryStop, entryPause, entryReload, callerDelay, callerReset,
 	storeSilent, storeOneWay, storeRefuse, storeBusy, storeSlow, storeLost, storeForget,
 	serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset,
-	planChange, keyRevoke,
+	promptCrash, planChange, keyRevoke,
 }
 
-// injection is one fault with its start in a run and its length.
-type injection struct {
+// Injection is one fault with its start in a run and its length.
+type Injection struct {
 	At, Length time.Duration
 	Kind       fault
 	// Pick selects the affected entry or backend server.
@@ -62,22 +63,27 @@
 	quietTime = 6 * time.Second
 	// minFaultLength and maxFaultLength bound the length of a fault.
 	minFaultLength, maxFaultLength = 200 * time.Millisecond, 4 * time.Second
+	// promptCrashFactor lengthens promptCrash: its bounds apply only some time after the first crashes.
+	promptCrashFactor = 3
 	// maxSeries is the largest number of faults in a series of one kind.
 	maxSeries = 4
 )
 
 // drawInjections draws the faults of a run from its seed: single faults and series of one kind, which may
 // overlap.
-func drawInjections(seed uint64, length time.Duration, perSecond float64) []injection {
+func drawInjections(seed uint64, length time.Duration, perSecond float64) []Injection {
 	r := rand.New(rand.NewPCG(seed, 1))
 	span := length - startupTime - quietTime
-	var out []injection
+	var out []Injection
 	for n := int(perSecond * span.Seconds()); len(out) < n; {
-		b := injection{
+		b := Injection{
 			At:     startupTime + time.Duration(r.Float64()*float64(span)),
 			Length: minFaultLength + time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength)),
 			Kind:   allFaults[r.IntN(len(allFaults))], Pick: r.IntN(1 << 20),
 		}
+		if b.Kind == promptCrash {
+			b.Length *= promptCrashFactor
+		}
 		series := 1
 		if r.IntN(3) == 0 {
 			series = 2 + r.IntN(maxSeries-1)
@@ -94,6 +100,6 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b injection) int { return int(a.At - b.At) })
+	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -19,13 +19,13 @@
 
 // proxy forwards TCP connections over loopback; its link can be disturbed.
 type proxy struct {
-	listener net.Listener
-	target   string
+	target string
 
-	mu      sync.Mutex
-	link    link
-	changed chan struct{}
-	conns   map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	link     link
+	changed  chan struct{}
+	conns    map[net.Conn]bool
 }
 
 // newProxy listens at an address, whose port may be 0, and forwards connections to target.
@@ -35,11 +35,36 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
+
+// goDown stops listening, so that new connections are refused, and resets all open connections.
+func (p *proxy) goDown() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.resetConns()
+}
+
+// goUp listens again at the same address after goDown.
+func (p *proxy) goUp() error {
+	l, err := listenAgain(p.address())
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.accept(l)
+	return nil
+}
 
 // setLink replaces the state of the link; stalled data continues if the new state allows it.
 func (p *proxy) setLink(l link) {
@@ -59,12 +84,6 @@
 	}
 }
 
-// close stops listening and resets all open connections.
-func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.resetConns()
-}
-
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
 	if tc, ok := c.(*net.TCPConn); ok {
@@ -73,9 +92,9 @@
 	_ = c.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -17,6 +17,8 @@
 	zone      string
 	store     *standin.Store
 	onArrival func(standin.Arrival)
+	// onCrash is called with the server's id if a part of a prompt crashes it.
+	onCrash func(id, part string)
 	// link is the proxy through which entries reach the backend server.
 	link *proxy
 	// faultMu lets one fault at a time stop and start backend servers.
@@ -24,6 +26,7 @@
 
 	mu          sync.Mutex
 	incarnation int
+	down        bool
 	info        standin.Server
 	handler     *standin.Handler
 	http        *http.Server
@@ -40,11 +43,7 @@
 	if s.link != nil {
 		target = s.link.target
 	}
-	l, err := net.Listen("tcp4", target)
-	for n := 0; err != nil && n < maxListenTries; n++ {
-		time.Sleep(10 * time.Millisecond)
-		l, err = net.Listen("tcp4", target)
-	}
+	l, err := listenAgain(target)
 	if err != nil {
 		return fmt.Errorf("start backend server %d: %w", s.index, err)
 	}
@@ -54,12 +53,19 @@
 		}
 	}
 	s.link.setLink(link{})
+	if s.incarnation > 0 {
+		if err := s.link.goUp(); err != nil {
+			return fmt.Errorf("start backend server %d: %w", s.index, err)
+		}
+	}
 	s.incarnation++
+	s.down = false
 	s.info = standin.Server{
 		ID: fmt.Sprintf("i-%d-%d", s.index, s.incarnation), Service: s.service, Address: s.link.address(), Zone: s.zone, Version: "v1",
 		Slots: 32, StartUnixMilli: time.Now().UnixMilli(),
 	}
-	s.handler = standin.NewHandler(s.info, s.onArrival)
+	id := s.info.ID
+	s.handler = standin.NewHandler(s.info, s.onArrival, func(part string) { s.onCrash(id, part) })
 	s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
 	go func(h *http.Server) {
 		// Serve returns when crash closes the backend server.
@@ -68,13 +74,30 @@
 	return s.store.Announce(s.info)
 }
 
-// crash ends the backend server without an announcement and resets its connections.
-func (s *serverSlot) crash() {
+// crash ends the backend server without an announcement, resets its connections and refuses new ones.
+func (s *serverSlot) crash() { s.crashIfUp(s.id()) }
+
+// crashIfUp crashes the backend server if it still has the id, and reports whether it did.
+func (s *serverSlot) crashIfUp(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.link.setLink(link{refuse: true})
+	if s.down || s.info.ID != id {
+		return false
+	}
+	s.down = true
 	_ = s.http.Close()
-	s.link.resetConns()
+	s.link.goDown()
+	return true
+}
+
+// listenAgain listens at an address that another listener may have left just now.
+func listenAgain(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	for n := 0; err != nil && n < maxListenTries; n++ {
+		time.Sleep(10 * time.Millisecond)
+		l, err = net.Listen("tcp4", address)
+	}
+	return l, err
 }
 
 // announceDrain announces in the store that the backend server drains.
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -26,7 +26,9 @@
 	// Length is the duration of the run.
 	Length time.Duration
 	// Rate is the number of faults per second.
-	Rate                      float64
+	Rate float64
+	// Faults replaces the faults that are drawn from the seed.
+	Faults                    []Injection
 	Entries, Servers, Callers int
 }
 
@@ -55,6 +57,8 @@
 	http    *http.Server
 	entries []*entry
 	servers []*serverSlot
+	// restarts waits for the backend servers that parts of prompts have crashed.
+	restarts sync.WaitGroup
 
 	mu         sync.Mutex
 	history    history
@@ -83,13 +87,17 @@
 		c := &caller{entry: s.entries[i%len(s.entries)], seed: cfg.Seed<<16 + uint64(i), nextKey: s.pickKey, results: records}
 		callers.Go(func() { c.run(runCtx) })
 	}
-	injections := drawInjections(cfg.Seed, cfg.Length, cfg.Rate)
+	injections := cfg.Faults
+	if injections == nil {
+		injections = drawInjections(cfg.Seed, cfg.Length, cfg.Rate)
+	}
 	s.injectFaults(runCtx, injections)
 	stop()
 	callers.Wait()
 	close(records)
 	collector.Wait()
 	s.stopAll()
+	s.restarts.Wait()
 	return s.report(len(injections)), nil
 }
 
@@ -146,6 +154,7 @@
 	zoneNames := slices.Sorted(maps.Keys(zones))
 	for i := range s.cfg.Servers {
 		srv := &serverSlot{index: i, service: []string{"desk", "models"}[i%2], zone: zoneNames[i/2%len(zoneNames)], store: s.store, onArrival: s.recordArrival}
+		srv.onCrash = func(id, part string) { s.crashByPrompt(srv, id, part) }
 		if err := srv.launch(); err != nil {
 			return err
 		}
@@ -186,7 +195,7 @@
 func (s *soak) pickKey(now time.Time) string { return fmt.Sprintf("key-%d", now.UnixNano()%keyCount) }
 
 // injectFaults injects each fault at its time and then waits for the rest of the run, which has no faults.
-func (s *soak) injectFaults(ctx context.Context, injections []injection) {
+func (s *soak) injectFaults(ctx context.Context, injections []Injection) {
 	start := time.Now()
 	var wg sync.WaitGroup
 	for _, inj := range injections {
@@ -239,13 +248,12 @@
 		default:
 			e.terminate(syscall.SIGKILL, time.Second)
 		}
-		e.callers.close()
-		e.store.close()
+		e.callers.goDown()
+		e.store.goDown()
 		errs = append(errs, e.logFile.Close())
 	}
 	for _, srv := range s.servers {
 		srv.crash()
-		srv.link.close()
 	}
 	if s.http != nil {
 		errs = append(errs, s.http.Close())
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -15,10 +15,7 @@
 	if testing.Short() {
 		t.Skip("runs in real time")
 	}
-	program := filepath.Join(t.TempDir(), "bramleyhinge")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/bramleyhinge").CombinedOutput(); err != nil {
-		t.Fatalf("build the program: %v\n%s", err, out)
-	}
+	program := buildProgram(t)
 	type seedCase struct {
 		Seed   uint64
 		Length time.Duration
@@ -39,3 +36,41 @@
 		}
 	}
 }
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "bramleyhinge")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/bramleyhinge").CombinedOutput(); err != nil {
+		t.Fatalf("build the program: %v\n%s", err, out)
+	}
+	return program
+}
+
+// TestPlays runs the real program through fixed series of faults.
+func TestPlays(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs in real time")
+	}
+	program := buildProgram(t)
+	type playCase struct {
+		Name    string
+		Length  time.Duration
+		Servers int
+		Faults  []Injection
+	}
+	for _, c := range tester.Load[playCase](t, "plays.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			report, err := Run(t.Context(), Config{
+				Program: program, Dir: t.TempDir(), Seed: 1, Length: c.Length, Faults: c.Faults, Entries: 4, Servers: c.Servers, Callers: 24,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d served", report.Requests, report.Served)
+			for _, line := range report.Violations {
+				t.Error(line)
+			}
+		})
+	}
+}
