Ban the part of a prompt that crashes backend servers, not just requests

Cause: a suspect was a whole request, told from its path, organisation and body. Requests that only share a part were different suspects, each banned when it had done its harm and would not return. The class: an identity finer than the cause, kept for each observer by itself. The same class held back what was known of one request: entries published it from their own second crash on, so three entries with one crash each never banned it.

All shared parts of a prompt and the request itself are now traits. A crash accuses the traits of everything its server had not answered, at any entry; an answer of three events or more acquits them, also afterwards. Each crash is attributed to one trait, so the parts that sound requests share are not banned with the culprit. Entries share evidence by datagram and through an object of each, which restarted ones read. A crash is a refused connection; time-outs of a cut network are none. Suspects are tracked for each backend server, so answers dropped for a larger model and callers that left count too. A stream with neither a length nor chunks that ends before its first event is broken, as one that ends inside an event was already.

The objects poison.FINGERPRINT are no longer written.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -92,13 +92,16 @@
 		Self: s.Instance, PlatformState: platformState, Store: store, SharedKind: sharedObjectKind,
 		OrderKey: platform.OrderKey, EncodeStatus: platform.EncodeStatus, Exposure: s.Exposure, Log: log,
 	})
-	quarantine := quarantiner.New(quarantiner.Config{Store: store, SharedKind: sharedObjectKind, Log: log})
+	quarantine := quarantiner.New(quarantiner.Config{Self: s.Instance, Store: store, SharedKind: sharedObjectKind, Meter: m, Log: log})
 	platformState.OnSharedObject(func(o storer.Object) { quarantine.Merge(o, time.Now()) })
 	var f *forwarder.Forwarder
 	gossip = gossiper.New(gossiper.Config{
 		Self: s.Instance, Place: s.Place, Address: s.Gossip, Store: store, SharedKind: sharedObjectKind, Log: log,
-		Local:      func() map[model.BackendID]gossiper.OpenWork { return f.OpenWork() },
-		Broadcasts: rollouts.Broadcasts, OnBroadcast: rollouts.OnBroadcast,
+		Local: func() map[model.BackendID]gossiper.OpenWork { return f.OpenWork() },
+		Topics: []gossiper.Topic{
+			{Broadcasts: rollouts.Broadcasts, OnBroadcast: rollouts.OnBroadcast},
+			{Broadcasts: quarantine.Broadcasts, OnBroadcast: quarantine.OnBroadcast},
+		},
 	})
 	platformState.OnSharedObject(func(o storer.Object) { gossip.UpdateMember(o, time.Now()) })
 	f = forwarder.New(forwarder.Config{
@@ -114,6 +117,7 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	wg.Go(func() { platformState.Run(runCtx) })
 	wg.Go(func() { rollouts.Run(runCtx) })
+	wg.Go(func() { quarantine.Run(runCtx) })
 	if conn, err := listenGossip(s.Gossip); err != nil {
 		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: cannot open the gossip socket; gossip with other entries is off")
 	} else {
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -96,6 +96,9 @@
 	}
 	now := time.Now()
 	f.recordOutcome(c, rep, failed, now)
+	if !failed {
+		f.proveAttempt(c, rep.peer, now)
+	}
 	if promisesNotRun(rep.StatusCode) || !rep.sealed {
 		// The status would promise that the request did not run, which no backend server has confirmed.
 		c.mayHaveRun = true
@@ -156,7 +159,7 @@
 	events := splitter.New(rep.Body)
 	rc := http.NewResponseController(out.w)
 	silenceLimit := max(minSilenceLimit, silenceGapFactor*c.route.MaxEventGap)
-	awaitingFirst, delivered := !c.delivered, 0
+	awaitingFirst, received, delivered := !c.delivered, 0, 0
 	streamStart := time.Now()
 	lastData := streamStart
 	for {
@@ -180,6 +183,9 @@
 		hasData := len(splitter.Data(event)) > 0
 		if hasData {
 			lastData = time.Now()
+			if received++; received == provenEvents {
+				f.proveAttempt(c, rep.peer, lastData)
+			}
 		}
 		if awaitingFirst {
 			f.recordOutcome(c, rep, false, time.Now())
@@ -217,6 +223,11 @@
 		}
 	}
 	now := time.Now()
+	if received == 0 && rep.isUnframed() {
+		rep.closeConn()
+		return &failure{kind: failureBroken, cause: errUnframedEnd}
+	}
+	f.proveAttempt(c, rep.peer, now)
 	if !out.started {
 		out.writeHead(rep, -1)
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -253,7 +253,7 @@
 		return
 	}
 	keep := keepAliveTime(r.Header)
-	if r.Close || keep <= 0 || r.conn.r.Buffered() > 0 || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if r.Close || keep <= 0 || r.conn.r.Buffered() > 0 || r.isUnframed() {
 		r.conn.close()
 		return
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -99,8 +99,11 @@
 
 // Quarantine tracks requests that crash the backend servers that run them.
 type Quarantine interface {
-	IsBanned(fingerprint uint64, now time.Time) bool
-	RecordCrash(fingerprint uint64, b model.BackendID, now time.Time)
+	IsBanned(traits []model.Trait, now time.Time) bool
+	// RecordCrash records the traits of all requests that may have crashed a backend server.
+	RecordCrash(s model.ServerLifetime, suspects []model.Trait, now time.Time)
+	// RecordProven records an answer that shows that the request's traits crash no backend server.
+	RecordProven(traits []model.Trait, now time.Time)
 }
 
 // Forwarder accepts callers' requests and forwards them to backend servers.
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -67,8 +67,9 @@
 // fakeQuarantine bans nothing and ignores crashes.
 type fakeQuarantine struct{}
 
-func (fakeQuarantine) IsBanned(uint64, time.Time) bool                { return false }
-func (fakeQuarantine) RecordCrash(uint64, model.BackendID, time.Time) {}
+func (fakeQuarantine) IsBanned([]model.Trait, time.Time) bool                     { return false }
+func (fakeQuarantine) RecordCrash(model.ServerLifetime, []model.Trait, time.Time) {}
+func (fakeQuarantine) RecordProven([]model.Trait, time.Time)                      {}
 
 // backends is a group of backend servers that follow one script: the n-th request that arrives gets the
 // n-th reply.
@@ -118,11 +119,11 @@
 		if err != nil {
 			return
 		}
-		go b.serve(c)
+		go b.serve(c, l)
 	}
 }
 
-func (b *backends) serve(c net.Conn) {
+func (b *backends) serve(c net.Conn, l net.Listener) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
@@ -139,6 +140,14 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		if reply, ok := strings.CutPrefix(reply, "crash"); ok {
+			// What the server still sends before it crashes follows the word.
+			if reply != "" {
+				b.reply(c, r, req, strings.TrimPrefix(reply, " "))
+			}
+			l.Close()
+			return
+		}
 		if !b.reply(c, r, req, reply) {
 			return
 		}
@@ -224,6 +233,12 @@
 		b.gone <- struct{}{}
 	case "garbage":
 		fmt.Fprint(c, "no answer at all\r\n\r\n")
+	case "head":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		time.Sleep(20 * time.Millisecond)
+	case "unframed":
+		// The body ends with the connection, at the end of the text.
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n%s", id, strings.ReplaceAll(rest, "|", "\n"))
 	case "events", "slowevents", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
 		return b.stream(c, r, id, word, rest)
 	default:
@@ -323,13 +338,18 @@
 }
 
 func startEntry(t *testing.T, state *fakeState) *entry {
+	t.Helper()
+	return startEntryWith(t, state, fakeQuarantine{})
+}
+
+func startEntryWith(t *testing.T, state *fakeState, q Quarantine) *entry {
 	t.Helper()
 	f := New(Config{
 		Settings: model.DirectSettings{
 			Memory: 64 << 20, Grace: 2 * time.Second, RetryBudget: model.RetryBudgetSettings{Ratio: 10, Window: 10 * time.Second},
 		},
 		Cascade: chooser.CascadeConfig{Floors: []int{70}},
-		Names:   testNames, PlatformState: state, Versions: allVersions{}, Quarantine: fakeQuarantine{},
+		Names:   testNames, PlatformState: state, Versions: allVersions{}, Quarantine: q,
 		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
 	})
 	listen := func() net.Listener {
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -54,6 +54,8 @@
 	cachedPrefixes map[string]time.Time
 	idleConns      []*conn
 	lastUsed       time.Time
+	// unproven holds the attempts that are suspects if the backend server crashes.
+	unproven []*attempt
 }
 
 type peerTable struct {
@@ -113,6 +115,7 @@
 				delete(p.cachedPrefixes, prefixKey)
 			}
 		}
+		p.dropOldAttempts(now)
 		forget := p.unanswered == 0 && len(p.idleConns) == 0 && now.Sub(p.lastUsed) > peerIdleTimeout
 		p.mu.Unlock()
 		if forget {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -46,6 +46,8 @@
 	// session is the id that related requests share.
 	session     string
 	fingerprint uint64
+	// traits are the properties of the request that may crash backend servers.
+	traits []model.Trait
 	// prefillTime is the estimated prefill time of the prompt at the current backend server; uncontended means
 	// that the prompt does not have to wait for others.
 	prefillTime time.Duration
@@ -61,6 +63,7 @@
 	needsNewConn, redialled bool
 	// attemptStart is when the current attempt started.
 	attemptStart time.Time
+	attempt      *attempt
 	// sent counts the attempts that were sent, failedDials the backend servers that could not be reached.
 	sent, failedDials int
 	tried             map[model.BackendID]bool
@@ -118,6 +121,7 @@
 	}
 	release, refusal = f.readBody(c, r)
 	c.fingerprint = c.computeFingerprint()
+	c.traits = c.computeTraits()
 	return c, release, refusal
 }
 
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
@@ -43,8 +42,8 @@
 		f.refuse(w, c, refusal)
 		return
 	}
-	if f.cfg.Quarantine.IsBanned(c.fingerprint, now) {
-		f.refuse(w, c, model.Refuse(model.KindQuarantined, "the request crashed the backend servers that ran it: change it"))
+	if refusal := f.refuseBanned(c, now); refusal != nil {
+		f.refuse(w, c, refusal)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -70,13 +69,14 @@
 			break
 		}
 		p.startRequest(c.prefillTime, now)
-		c.attemptStart = now
+		c.attemptStart, c.attempt = now, p.startAttempt(c)
 		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
 		if p.removeBacklog(c.prefillTime); fail == nil {
 			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
 			fail = f.deliver(ctx, c, rep, out)
 		}
 		p.finishRequest(time.Now())
+		p.endAttempt(c.attempt, fail, time.Now())
 		if fail == nil {
 			return
 		}
@@ -110,7 +110,11 @@
 	if errors.Is(fail.cause, errEscalated) {
 		// The smaller model ran, so no later refusal may claim that the request did not run.
 		c.mayHaveRun = true
-		return nil, true
+		refusal := f.refuseBanned(c, now)
+		return refusal, refusal == nil
+	}
+	if fail.kind == failureBroken {
+		go f.confirmCrash(p)
 	}
 	if f.redial(c, p, fail, now) {
 		return nil, true
@@ -119,6 +123,7 @@
 	switch fail.kind {
 	case failureUnreached:
 		c.failedDials++
+		f.recordCrash(p, fail.cause, now)
 		backendFault = !errors.Is(fail.cause, errRetryBudgetSpent)
 	case failureBroken, failureFailed, failureSilent:
 		c.mayHaveRun, backendFault = true, true
@@ -128,9 +133,6 @@
 		if fail.kind == failureFailed {
 			f.cfg.Versions.Observe(f.outcome(c, p, true, now), now)
 		}
-		if fail.kind == failureBroken && !c.delivered {
-			go f.confirmCrash(c, p)
-		}
 		f.cfg.Meter.Count("attempts_failed/"+string(fail.kind), 1)
 		f.cfg.Log.Warn().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fate", string(fail.kind)).AnErr("cause", fail.cause).
 			Bool("breaker", breakerOpen).Msg("forwarder: attempt failed")
@@ -149,7 +151,10 @@
 	if c.sent >= c.route.Attempts || c.mayHaveRun && !isRetryable(c) || c.delivered && !c.route.Stream {
 		return refusal, false
 	}
-	return refusal, !f.cfg.Quarantine.IsBanned(c.fingerprint, now)
+	if banned := f.refuseBanned(c, now); banned != nil {
+		return banned, false
+	}
+	return refusal, true
 }
 
 // redial reports whether the request is sent to the same backend server again because a reused idle
@@ -166,25 +171,6 @@
 	return true
 }
 
-// confirmCrash dials a backend server whose answer broke off and records a crash only if it is unreachable:
-// a lost answer or a reset connection alone is no crash.
-func (f *Forwarder) confirmCrash(c *call, p *peer) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	defer cancel()
-	cn, err := dial(ctx, p.server.Address)
-	now := time.Now()
-	if err != nil {
-		p.failed(true, now)
-		f.cfg.Meter.Count("crashes/"+string(c.route.Route), 1)
-		f.cfg.Log.Warn().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fingerprint", strconv.FormatUint(c.fingerprint, 16)).
-			Str("parts", strings.Join(c.prompt.parts, ",")).AnErr("cause", err).Msg("forwarder: a backend server crashed while it ran the request")
-		f.cfg.Quarantine.RecordCrash(c.fingerprint, p.server.Backend, now)
-		return
-	}
-	cn.idleSince, cn.usableUntil = now, now.Add(defaultKeepAlive)
-	p.putIdleConn(cn)
-}
-
 // failureRefusal returns the refusal for a failed attempt; it states whether the request may have run.
 func (f *Forwarder) failureRefusal(ctx context.Context, c *call, fail *failure) *model.Refusal {
 	run := model.RunNo
--- a/internal/gossiper/codec.go
+++ b/internal/gossiper/codec.go
@@ -8,7 +8,8 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// The first byte of a message is its type; messages of other types are rejected.
+// The first byte of a message is its type; messages of other types are rejected. The types of broadcasts follow
+// messageBroadcast, one for each topic.
 const (
 	messageWork      = 1
 	messageBroadcast = 2
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -64,11 +64,17 @@
 	SharedKind string
 	// Local returns the work that this entry has open.
 	Local func() map[model.BackendID]OpenWork
-	// Broadcasts returns the new payloads since its last call, to be sent to all entries. OnBroadcast is
-	// called with each payload from another entry. Both may be nil.
-	Broadcasts  func() [][]byte
+	// Topics hold what is broadcast to all entries. Their order must not change.
+	Topics []Topic
+	Log    zerolog.Logger
+}
+
+// Topic is one kind of broadcast.
+type Topic struct {
+	// Broadcasts returns the new payloads since its last call, to be sent to all entries.
+	Broadcasts func() [][]byte
+	// OnBroadcast is called with each payload from another entry.
 	OnBroadcast func(payload []byte, now time.Time)
-	Log         zerolog.Logger
 }
 
 // Gossiper holds the open work of the other entries of the region.
@@ -233,9 +239,9 @@
 // sendUpdates sends broadcasts to all entries, and the open work to those of the region. It sends no
 // work message if there is no open work and the last message held none either.
 func (g *Gossiper) sendUpdates(conn *net.UDPConn, now time.Time) {
-	if g.cfg.Broadcasts != nil {
-		for _, payload := range g.cfg.Broadcasts() {
-			g.send(conn, append([]byte{messageBroadcast}, payload...), g.recipients(true, now))
+	for i, topic := range g.cfg.Topics {
+		for _, payload := range topic.Broadcasts() {
+			g.send(conn, append([]byte{messageBroadcast + byte(i)}, payload...), g.recipients(true, now))
 		}
 	}
 	local := g.cfg.Local()
@@ -298,10 +304,8 @@
 		return nil
 	}
 	m.lastHeard = now
-	if len(msg) > 0 && msg[0] == messageBroadcast {
-		if g.cfg.OnBroadcast != nil {
-			g.cfg.OnBroadcast(slices.Clone(msg[1:]), now)
-		}
+	if len(msg) > 0 && msg[0] >= messageBroadcast && int(msg[0]) < messageBroadcast+len(g.cfg.Topics) {
+		g.cfg.Topics[msg[0]-messageBroadcast].OnBroadcast(slices.Clone(msg[1:]), now)
 		return nil
 	}
 	work, err := decodeWork(msg)
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -31,12 +31,17 @@
 		g := New(Config{
 			Self: model.InstanceID(fmt.Sprint("e", i)), Place: model.Place{Region: region}, Address: conn.LocalAddr().String(),
 			Store: platform, SharedKind: "marks", Local: func() map[model.BackendID]OpenWork { return work }, Log: zerolog.Nop(),
-			Broadcasts: func() [][]byte { return [][]byte{[]byte("news")} },
-			OnBroadcast: func(payload []byte, _ time.Time) {
-				if string(payload) == "news" {
-					received[i].Add(1)
-				}
-			},
+			Topics: []Topic{{
+				Broadcasts:  func() [][]byte { return nil },
+				OnBroadcast: func([]byte, time.Time) { t.Error("a payload arrived under another topic") },
+			}, {
+				Broadcasts: func() [][]byte { return [][]byte{[]byte("news")} },
+				OnBroadcast: func(payload []byte, _ time.Time) {
+					if string(payload) == "news" {
+						received[i].Add(1)
+					}
+				},
+			}},
 		})
 		entries = append(entries, g)
 		go g.Run(t.Context(), conn)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,44 +1,38 @@
-// Package quarantiner refuses requests that have crashed several backend servers.
+// Package quarantiner refuses requests that crash backend servers. It tells from the crashes that all entries saw
+// which trait the crashes have in common: a part of a prompt, whatever else a request holds, or a whole request.
 package quarantiner
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
 const (
-	// banThreshold is the number of backend servers that must crash on a request before it is
-	// refused. One server may crash by chance, and a crash breaks off all requests that run beside
-	// the one that caused it.
+	// banThreshold is the number of backend servers that must crash on a trait before it is banned. One server
+	// may crash by chance, and a crash breaks off all requests that run beside the one that caused it.
 	banThreshold = 3
-	// publishThreshold is the number of crashed backend servers from which an entry publishes a
-	// suspect to the others, because the same request may come again at any of them.
-	publishThreshold = 2
-	// suspectTTL is how long a suspect below the threshold is kept after its last crash.
-	suspectTTL = 30 * time.Second
-	// banDuration is how long a request is refused after its last crash.
+	// banDuration is how long a crash counts, and so how long a trait is banned after its last crash.
 	banDuration = 10 * time.Minute
-	// maxSuspects is the number of suspects from which expired ones are deleted.
-	maxSuspects = 20_000
-	// writeTimeout bounds all attempts to publish one suspect.
-	writeTimeout = 2 * time.Second
-	// maxWriteAttempts bounds the attempts to publish a suspect when other entries write it too.
-	maxWriteAttempts = 4
+	// provenGrace is how long before a crash an answer clears a trait of having caused it. It is longer than
+	// servers in good order need to begin an answer, so that traits in steady use are never suspected.
+	provenGrace = 2 * time.Second
+	// maxCrashes and maxSuspects bound the crashes that are kept, and the traits that are kept for one crash.
+	maxCrashes, maxSuspects = 256, 128
+	// tellInterval is the least time between two messages that clear the same trait.
+	tellInterval = time.Second
+	// maxProven is the number of proven traits from which old ones are deleted.
+	maxProven = 20_000
 )
 
-// Store reads and writes the objects of published suspects.
+// Store reads and writes the objects that hold the evidence of entries.
 type Store interface {
 	Get(ctx context.Context, key string) (storer.Object, error)
 	Put(ctx context.Context, key string, value []byte, expect model.Revision) (model.Revision, error)
@@ -46,162 +40,127 @@
 
 // Config configures a Quarantiner.
 type Config struct {
+	Self  model.InstanceID
 	Store Store
-	// SharedKind is the kind of the objects that hold the suspects of all entries.
+	// SharedKind is the kind of the objects that hold the evidence of all entries.
 	SharedKind string
+	Meter      *meter.Meter
 	Log        zerolog.Logger
 }
 
-// suspect is a request during which backend servers crashed, as seen by any entry.
-type suspect struct {
-	servers   map[model.BackendID]bool
-	lastCrash time.Time
-}
-
-// Quarantiner tracks the requests that crash backend servers.
+// Quarantiner tracks the crashes of backend servers and the traits that caused them.
 type Quarantiner struct {
 	cfg Config
 
-	mu       sync.Mutex
-	suspects map[uint64]*suspect
+	mu       sync.RWMutex
+	evidence evidence
+	// bans holds when the ban of each banned trait ends.
+	bans map[model.TraitID]time.Time
+	// own holds the crashes that this entry saw, and told when it last told the others that one of its answers
+	// cleared a trait. Both are published.
+	own  map[model.ServerLifetime]*crashMessage
+	told map[model.TraitID]time.Time
+	// unsent holds what the other entries have not been sent yet.
+	unsent []message
+	// changed wakes Run after a change of what is published.
+	changed chan struct{}
 }
 
-// publishedSuspect is the stored form of a suspect.
-type publishedSuspect struct {
-	Servers []model.BackendID `json:"servers"`
-}
-
-// New returns a quarantiner without suspects.
+// New returns a Quarantiner without evidence.
 func New(cfg Config) *Quarantiner {
-	return &Quarantiner{cfg: cfg, suspects: map[uint64]*suspect{}}
+	return &Quarantiner{
+		cfg: cfg, evidence: newEvidence(), bans: map[model.TraitID]time.Time{},
+		own: map[model.ServerLifetime]*crashMessage{}, told: map[model.TraitID]time.Time{}, changed: make(chan struct{}, 1),
+	}
 }
 
-// IsBanned reports whether a request must be refused.
-func (q *Quarantiner) IsBanned(fingerprint uint64, now time.Time) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	s := q.suspects[fingerprint]
-	return s != nil && len(s.servers) >= banThreshold && now.Sub(s.lastCrash) < banDuration
+// IsBanned reports whether a request with the traits must be refused.
+func (q *Quarantiner) IsBanned(traits []model.Trait, now time.Time) bool {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if len(q.bans) == 0 {
+		return false
+	}
+	for _, t := range traits {
+		if now.Before(q.bans[t.ID]) {
+			return true
+		}
+	}
+	return false
 }
 
-// RecordCrash records that a backend server crashed while it ran a request. From publishThreshold
-// servers on, it publishes the suspect to the other entries.
-func (q *Quarantiner) RecordCrash(fingerprint uint64, b model.BackendID, now time.Time) {
+// RecordCrash records that a backend server crashed, and the traits of the requests that had not got a proven
+// answer from it by then.
+func (q *Quarantiner) RecordCrash(s model.ServerLifetime, suspects []model.Trait, now time.Time) {
 	q.mu.Lock()
-	s := q.addCrashes(fingerprint, []model.BackendID{b}, now)
-	n := len(s.servers)
-	q.mu.Unlock()
-	if n < publishThreshold {
+	defer q.mu.Unlock()
+	added := q.evidence.addCrash(s, suspects, now)
+	added = slices.DeleteFunc(added, func(t model.Trait) bool { return q.evidence.isCleared(t.ID, now) })
+	if len(added) == 0 {
 		return
 	}
-	q.cfg.Log.Warn().Str("fingerprint", strconv.FormatUint(fingerprint, 16)).Str("backend", string(b)).Int("crashed", n).
-		Bool("banned", n >= banThreshold).Msg("quarantiner: backend servers crashed while running a request")
-	go q.publish(fingerprint)
+	if c := q.own[s]; c == nil {
+		q.own[s] = &crashMessage{Server: s, Traits: added}
+	} else {
+		c.Traits = append(c.Traits, added...)
+	}
+	q.unsent = append(q.unsent, message{Crashes: []crashMessage{{Server: s, Traits: added}}})
+	q.judge(now)
+	q.wake()
 }
 
-// addCrashes adds crashed backend servers to a suspect. The caller holds the lock.
-func (q *Quarantiner) addCrashes(fingerprint uint64, servers []model.BackendID, now time.Time) *suspect {
-	s := q.suspects[fingerprint]
-	if s == nil {
-		if len(q.suspects) >= maxSuspects {
-			q.deleteExpired(now)
+// RecordProven records that a request with the traits got an answer that is too long for it to have crashed the
+// backend server as it began.
+func (q *Quarantiner) RecordProven(traits []model.Trait, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cleared := false
+	for _, t := range traits {
+		suspected := q.evidence.crashCount(t.ID) >= banThreshold-1
+		q.evidence.prove(t.ID, t.Depth, now, true)
+		if suspected {
+			q.tellProven(t.ID, now)
+			cleared = true
 		}
-		s = &suspect{servers: map[model.BackendID]bool{}}
-		q.suspects[fingerprint] = s
 	}
-	for _, b := range servers {
-		s.servers[b] = true
+	if cleared {
+		q.judge(now)
 	}
-	s.lastCrash = now
-	return s
 }
 
-func (q *Quarantiner) deleteExpired(now time.Time) {
-	for f, s := range q.suspects {
-		age := now.Sub(s.lastCrash)
-		if age > banDuration || age > suspectTTL && len(s.servers) < banThreshold {
-			delete(q.suspects, f)
-		}
+// tellProven publishes that an answer of this entry cleared a trait. The caller holds the lock.
+func (q *Quarantiner) tellProven(t model.TraitID, now time.Time) {
+	if last, ok := q.told[t]; ok && now.Sub(last) < tellInterval {
+		return
 	}
+	q.told[t] = now
+	q.unsent = append(q.unsent, message{Proven: []model.TraitID{t}})
+	q.wake()
 }
 
-// publish merges this entry's crashes of a suspect into the stored object.
-func (q *Quarantiner) publish(fingerprint uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-	defer cancel()
-	key := q.key(fingerprint)
-	var err error
-	for range maxWriteAttempts {
-		if err = q.write(ctx, key, fingerprint); !storer.IsKind(err, storer.KindConflict) {
-			break
+// judge brings the bans up to date with the evidence. The caller holds the lock.
+func (q *Quarantiner) judge(now time.Time) {
+	q.evidence.expire(now)
+	bans := q.evidence.bans()
+	for t, until := range bans {
+		if _, ok := q.bans[t]; !ok {
+			q.cfg.Meter.Count("quarantine/banned", 1)
+			q.cfg.Log.Warn().Str("trait", string(t)).Int("crashed", q.evidence.crashCount(t)).Dur("ban", until.Sub(now)).
+				Msg("quarantiner: backend servers crashed on a trait, requests with it are refused")
 		}
 	}
-	if err != nil {
-		q.cfg.Log.Warn().Err(err).Str("key", key).Msg("quarantiner: cannot publish a suspect to other entries")
-	}
-}
-
-func (q *Quarantiner) write(ctx context.Context, key string, fingerprint uint64) error {
-	o, err := q.cfg.Store.Get(ctx, key)
-	if err != nil && !storer.IsKind(err, storer.KindNotFound) {
-		return err
-	}
-	if err == nil {
-		q.Merge(o, time.Now())
-	}
-	b, err := json.Marshal(q.publishedSuspect(fingerprint))
-	if err != nil {
-		return fmt.Errorf("encode suspect %s: %w", key, err)
-	}
-	if string(o.Value) == string(b) {
-		return nil
-	}
-	_, err = q.cfg.Store.Put(ctx, key, b, o.Revision)
-	return err
-}
-
-func (q *Quarantiner) publishedSuspect(fingerprint uint64) publishedSuspect {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var m publishedSuspect
-	if s := q.suspects[fingerprint]; s != nil {
-		for b := range s.servers {
-			m.Servers = append(m.Servers, b)
+	for t, until := range q.bans {
+		if _, ok := bans[t]; !ok && now.Before(until) {
+			q.cfg.Meter.Count("quarantine/lifted", 1)
+			q.cfg.Log.Warn().Str("trait", string(t)).Msg("quarantiner: a trait is no longer suspected of crashes, requests with it are accepted")
 		}
 	}
-	// An unchanged set must have the same stored form, so that it is not written again.
-	slices.Sort(m.Servers)
-	return m
+	q.bans = bans
 }
 
-const keyPrefix = "poison."
-
-func (q *Quarantiner) key(fingerprint uint64) string {
-	return q.cfg.SharedKind + "/" + keyPrefix + strconv.FormatUint(fingerprint, 16)
-}
-
-var errNoServers = errors.New("the object names no backend servers")
-
-// Merge adds the crashes in an object that another entry published; it ignores other objects of the
-// same kind.
-func (q *Quarantiner) Merge(o storer.Object, now time.Time) {
-	name, ok := strings.CutPrefix(o.Key, q.cfg.SharedKind+"/"+keyPrefix)
-	if !ok {
-		return
-	}
-	fingerprint, err := strconv.ParseUint(name, 16, 64)
-	var m publishedSuspect
-	if err == nil {
-		err = json.Unmarshal(o.Value, &m)
-	}
-	if err == nil && len(m.Servers) == 0 {
-		err = errNoServers
+func (q *Quarantiner) wake() {
+	select {
+	case q.changed <- struct{}{}:
+	default:
 	}
-	if err != nil {
-		q.cfg.Log.Error().Err(err).Str("key", o.Key).Msg("quarantiner: cannot read a published suspect; ignoring it")
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.addCrashes(fingerprint, m.Servers, now)
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -2,104 +2,220 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/standin"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// TestBanIsShared checks that all entries refuse a request once it has crashed three backend servers,
-// even if different entries saw the crashes, and that they accept another request.
-func TestBanIsShared(t *testing.T) {
-	platform := standin.NewPlatform()
-	entries := make([]*Quarantiner, 3)
-	for i := range entries {
-		entries[i] = New(Config{Store: platform, SharedKind: "marks", Log: zerolog.Nop()})
+func newQuarantiner(self int, store Store) *Quarantiner {
+	return New(Config{Self: model.InstanceID(fmt.Sprint("entry-", self)), Store: store, SharedKind: "marks", Meter: meter.New(), Log: zerolog.Nop()})
+}
+
+// traits returns the traits of a request. Names that begin with "request" are those of whole requests.
+func traits(names []string) []model.Trait {
+	var out []model.Trait
+	for i, name := range names {
+		t := model.Trait{ID: model.TraitID(name), Depth: i}
+		if strings.HasPrefix(name, "request") {
+			t.Depth = model.WholeRequest
+		}
+		out = append(out, t)
 	}
-	now := time.Now()
-	var got []bool
-	entries[0].RecordCrash(7, "a", now)
-	got = append(got, entries[0].IsBanned(7, now))
-	entries[0].RecordCrash(7, "a", now)
-	got = append(got, entries[0].IsBanned(7, now))
-	entries[0].RecordCrash(7, "b", now)
-	entries[1].RecordCrash(7, "c", now)
-	mergeAll(t, platform, entries)
-	entries[1].RecordCrash(7, "d", now)
-	mergeAll(t, platform, entries)
-	for _, e := range entries {
-		got = append(got, e.IsBanned(7, now), e.IsBanned(8, now))
-	}
-	if diff := cmp.Diff([]bool{false, false, true, false, true, false, true, false}, got); diff != "" {
-		t.Errorf("banned (-want +got):\n%s", diff)
-	}
-	if entries[0].IsBanned(7, now.Add(banDuration+time.Minute)) {
-		t.Error("still banned long after the last crash")
+	return out
+}
+
+// fleet is a group of entries that exchange evidence.
+type fleet struct {
+	t        *testing.T
+	platform *standin.Platform
+	entries  []*Quarantiner
+	cutOff   map[int]bool
+}
+
+// exchange publishes and broadcasts what the entries have to tell, until nothing is left.
+func (f *fleet) exchange(now time.Time) {
+	f.t.Helper()
+	for range 3 {
+		for i, e := range f.entries {
+			for _, b := range e.Broadcasts() {
+				for j, other := range f.entries {
+					if i != j && !f.cutOff[i] && !f.cutOff[j] {
+						other.OnBroadcast(b, now)
+					}
+				}
+			}
+			select {
+			case <-e.changed:
+				if err := e.publish(f.t.Context(), now); err != nil {
+					f.t.Fatal(err)
+				}
+			default:
+			}
+		}
+		for _, e := range f.entries {
+			f.read(e, now)
+		}
 	}
 }
 
-// TestUnreadableObjects checks that objects that cannot be read, or that are of another kind, change
+// read passes the stored objects to an entry.
+func (f *fleet) read(e *Quarantiner, now time.Time) {
+	f.t.Helper()
+	l, err := f.platform.List(f.t.Context(), "marks/")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, o := range l.Objects {
+		e.Merge(o, now)
+	}
+}
+
+// TestBans checks what entries ban after crashes and answers that different entries saw.
+func TestBans(t *testing.T) {
+	type banCase struct {
+		Name  string
+		Steps []struct {
+			At       float64
+			Entry    int
+			Crash    string
+			Suspects [][]string
+			Proven   []string
+			Restart  *int
+			CutOff   *int
+		}
+		Banned [][]string
+	}
+	for _, c := range tester.Load[banCase](t, "bans.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			f := &fleet{t: t, platform: standin.NewPlatform(), cutOff: map[int]bool{}}
+			for i := range c.Banned {
+				f.entries = append(f.entries, newQuarantiner(i, f.platform))
+			}
+			start := time.UnixMilli(1_700_000_000_000)
+			now := start
+			var names []string
+			for _, s := range c.Steps {
+				now = start.Add(time.Duration(s.At * float64(time.Second)))
+				names = append(names, s.Proven...)
+				var suspects []model.Trait
+				for _, request := range s.Suspects {
+					suspects = append(suspects, traits(request)...)
+					names = append(names, request...)
+				}
+				e := f.entries[s.Entry]
+				switch {
+				case s.Crash != "":
+					e.RecordCrash(model.ServerLifetime{Backend: model.BackendID(s.Crash)}, suspects, now)
+				case s.Proven != nil:
+					e.RecordProven(traits(s.Proven), now)
+				case s.Restart != nil:
+					f.entries[*s.Restart] = newQuarantiner(*s.Restart, f.platform)
+					f.read(f.entries[*s.Restart], now)
+				case s.CutOff != nil:
+					f.cutOff[*s.CutOff] = true
+				}
+				f.exchange(now)
+			}
+			slices.Sort(names)
+			var got [][]string
+			for _, e := range f.entries {
+				banned := []string{}
+				for _, name := range slices.Compact(names) {
+					if e.IsBanned(traits([]string{name}), now) {
+						banned = append(banned, name)
+					}
+				}
+				got = append(got, banned)
+			}
+			if diff := cmp.Diff(c.Banned, got); diff != "" {
+				t.Errorf("banned at each entry (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUnreadableObjects checks that objects and messages that cannot be read, or that are of another kind, change
 // nothing.
 func TestUnreadableObjects(t *testing.T) {
-	q := New(Config{SharedKind: "marks", Log: zerolog.Nop()})
+	const crashes = `{"crashes":[{"server":{"backend":"a"},"traits":[{"id":"bad"}]},{"server":{"backend":"b"},"traits":[{"id":"bad"}]},{"server":{"backend":"c"},"traits":[{"id":"bad"}]}]}`
+	q := newQuarantiner(0, nil)
+	now := time.Now()
 	for _, o := range []storer.Object{
-		{Key: "marks/poison.zz", Value: []byte(`{"servers":["a","b","c"]}`)},
-		{Key: "marks/poison.7", Value: []byte(`rubbish`)},
-		{Key: "marks/poison.7", Value: []byte(`{}`)},
-		{Key: "marks/shift.svc", Value: []byte(`{"servers":["a","b","c"]}`)},
+		{Key: "marks/crashes.x", Value: []byte(`rubbish`)},
+		{Key: "marks/crashes.x", Value: []byte(`{}`)},
+		{Key: "marks/shift.svc", Value: []byte(crashes)},
+		{Key: "other/crashes.x", Value: []byte(crashes)},
 	} {
-		q.Merge(o, time.Now())
+		q.Merge(o, now)
 	}
-	if q.IsBanned(7, time.Now()) {
+	q.OnBroadcast([]byte(`rubbish`), now)
+	if q.IsBanned(traits([]string{"bad"}), now) {
 		t.Error("banned by an object that cannot be read")
 	}
-}
-
-// mergeAll waits until suspects are published and then passes the stored objects to each entry.
-func mergeAll(t *testing.T, platform *standin.Platform, entries []*Quarantiner) {
-	t.Helper()
-	time.Sleep(100 * time.Millisecond)
-	l, err := platform.List(t.Context(), "marks/")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, e := range entries {
-		for _, o := range l.Objects {
-			e.Merge(o, time.Now())
-		}
+	q.OnBroadcast([]byte(crashes), now)
+	if !q.IsBanned(traits([]string{"bad"}), now) {
+		t.Error("not banned by a message that can be read")
 	}
 }
 
-// TestUnchangedSuspectIsNotWritten checks that an entry which learns nothing new of a suspect does not write it
+// TestUnchangedEvidenceIsNotWritten checks that an entry which learns nothing new does not write its evidence
 // again: each write wakes the watches of all entries.
-func TestUnchangedSuspectIsNotWritten(t *testing.T) {
+func TestUnchangedEvidenceIsNotWritten(t *testing.T) {
 	platform := standin.NewPlatform()
-	q := New(Config{Store: platform, SharedKind: "marks", Log: zerolog.Nop()})
+	q := newQuarantiner(0, platform)
+	now := time.Now()
 	for i := range 12 {
-		q.addCrashes(7, []model.BackendID{model.BackendID(fmt.Sprint("b", i))}, time.Now())
+		q.RecordCrash(model.ServerLifetime{Backend: model.BackendID(fmt.Sprint("b", i))}, traits([]string{"bad"}), now.Add(time.Duration(i)*time.Millisecond))
 	}
-	if err := q.write(t.Context(), q.key(7), 7); err != nil {
-		t.Fatal(err)
+	var revisions []model.Revision
+	for i := range 5 {
+		if err := q.publish(t.Context(), now.Add(time.Duration(i)*time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		o, err := platform.Get(t.Context(), q.evidenceKey())
+		if err != nil {
+			t.Fatal(err)
+		}
+		revisions = append(revisions, o.Revision)
 	}
-	first, err := platform.Get(t.Context(), q.key(7))
-	if err != nil {
-		t.Fatal(err)
+	if diff := cmp.Diff(slices.Repeat(revisions[:1], 5), revisions); diff != "" {
+		t.Errorf("revisions of the object (-want +got):\n%s", diff)
 	}
-	for range 5 {
-		if err := q.write(t.Context(), q.key(7), 7); err != nil {
-			t.Fatal(err)
+}
+
+// TestEvidenceIsBounded checks that crashes with many suspects keep messages, objects and memory bounded.
+func TestEvidenceIsBounded(t *testing.T) {
+	q := newQuarantiner(0, standin.NewPlatform())
+	now := time.Now()
+	for i := range 2 * maxCrashes {
+		var names []string
+		for n := range 2 * maxSuspects {
+			names = append(names, fmt.Sprintf("part.%d.%020d", i, n))
+		}
+		q.RecordCrash(model.ServerLifetime{Backend: model.BackendID(fmt.Sprint("b", i))}, traits(names), now)
+		for _, b := range q.Broadcasts() {
+			if len(b) > 1200 {
+				t.Fatalf("a message has %d bytes, which do not fit into a packet", len(b))
+			}
 		}
 	}
-	last, err := platform.Get(t.Context(), q.key(7))
-	if err != nil {
+	if err := q.publish(t.Context(), now); err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(first, last); diff != "" {
-		t.Errorf("object after further writes (-first +last):\n%s", diff)
+	if n := len(q.evidence.crashes); n > maxCrashes {
+		t.Errorf("%d crashes are kept, want at most %d", n, maxCrashes)
+	}
+	if n := len(q.own); n > maxCrashes {
+		t.Errorf("%d own crashes are kept, want at most %d", n, maxCrashes)
 	}
 }
