Do not start processes of the soak while its free ports are probed

Two plays of the soak that ran in parallel failed once each in four runs: an entry did not become ready. Its log, which the error now quotes, ends with "address already in use" for a port that freePorts had just found free.

Cause: between fork and exec, a process that the other play starts holds copies of the listeners with which freePorts probes, so the port is in use after they were closed. A lock now keeps the two apart.

--- a/internal/soaker/ports.go
+++ b/internal/soaker/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 const (
@@ -15,8 +16,14 @@
 	firstPort, lastPort = 4_000, 12_000
 )
 
+// portsMu keeps processes from being started while freePorts has listeners open: until a new process runs its own
+// program, it holds a copy of them, so that the ports stay in use after they were closed here.
+var portsMu sync.Mutex
+
 // freePorts returns n ports that are currently free for TCP and whose next port is free for UDP.
 func freePorts(n int) ([]int, error) {
+	portsMu.Lock()
+	defer portsMu.Unlock()
 	var out []int
 	for range maxPortTries {
 		port := firstPort + 2*rand.IntN((lastPort-firstPort)/2)
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -45,7 +45,10 @@
 	cmd := exec.Command(e.program, "direct")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+e.settingsFile)
 	cmd.Stdout, cmd.Stderr = e.logFile, e.logFile
-	if err := cmd.Start(); err != nil {
+	portsMu.Lock()
+	err := cmd.Start()
+	portsMu.Unlock()
+	if err != nil {
 		return fmt.Errorf("start entry %s: %w", e.Name, err)
 	}
 	exited := make(chan struct{})
@@ -108,6 +111,15 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// logTail returns the last lines of the entry's log.
+func (e *entry) logTail() string {
+	b, err := os.ReadFile(e.logFile.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-2000):])
+}
+
 // newEntry creates an entry with its proxies, and its settings and log files in dir.
 func newEntry(program, dir, name, zone string, store string) (*entry, error) {
 	e := &entry{program: program, settingsFile: filepath.Join(dir, name+".toml"), Entry: standin.Entry{Name: name, Zone: zone}}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -172,7 +172,7 @@
 	}
 	for _, e := range s.entries {
 		if !s.awaitReady(e, readyTimeout) {
-			return fmt.Errorf("entry %s is not ready after %v", e.Name, readyTimeout)
+			return fmt.Errorf("entry %s is not ready after %v; its log ends with\n%s", e.Name, readyTimeout, e.logTail())
 		}
 	}
 	return nil
