--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -33,11 +33,15 @@
 	// Sent is when the caller had written the whole request, Ended when the response ended.
 	Sent, Ended time.Time
 	// TimeLimit is the time limit that the caller sends.
-	TimeLimit     time.Duration
+	TimeLimit time.Duration
+	// HeadAt is when the head of the response arrived.
+	HeadAt        time.Time
 	Status        int
 	Seal, OtherID string
-	Answer        string
-	Events        int
+	// Limit is the limit that the backend server names in the response.
+	Limit  string
+	Answer string
+	Events int
 	// Complete reports that the caller received the whole response; EventError describes the first
 	// unexpected event of a stream.
 	Complete   bool
@@ -198,7 +202,7 @@
 		return false, err
 	}
 	defer resp.Body.Close()
-	rec.Status, rec.Seal = resp.StatusCode, resp.Header.Get(names.Seal)
+	rec.HeadAt, rec.Status, rec.Seal, rec.Limit = time.Now(), resp.StatusCode, resp.Header.Get(names.Seal), resp.Header.Get("Server-Limit")
 	if id := resp.Header.Get(names.Request); id != rec.ID {
 		rec.OtherID = id
 	}
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -41,6 +41,8 @@
 	Drains   []drainStart
 	// PromptCrashes holds the crashes that parts of prompts caused, in order.
 	PromptCrashes []promptCrashed
+	// Limits holds the limits that backend servers named.
+	Limits []namedLimit
 	// KeyOwners maps each key that was ever in a plan to its organisation; RevokedAt holds the time at which
 	// a key was revoked.
 	KeyOwners map[string]string
@@ -92,6 +94,7 @@
 	out = append(out, checkRepeats(h)...)
 	out = append(out, checkRecovery(h)...)
 	out = append(out, checkPromptCrashes(h)...)
+	out = append(out, checkLimits(h)...)
 	slices.SortFunc(out, func(a, b violation) int { return strings.Compare(a.Invariant+a.Request, b.Invariant+b.Request) })
 	return out
 }
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -29,7 +29,7 @@
 	case entryKill, entryStop, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse:
 		target = e.Name
 		s.injectEntryFault(ctx, inj, e)
-	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset:
+	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit:
 		target = srv.id()
 		s.injectServerFault(ctx, inj, srv)
 	case storeBusy, storeSlow, storeLost, storeForget:
@@ -125,6 +125,8 @@
 		s.disturbLink(ctx, srv.link, link{stallBack: true}, inj.Length)
 	case serverReset:
 		srv.link.resetConns()
+	case serverLimit:
+		s.nameLimit(ctx, inj, srv)
 	default:
 		srv.setFaults(serverFaultsByKind[inj.Kind])
 		sleep(ctx, inj.Length)
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -34,6 +34,7 @@
 	serverSilent  fault = "server-silent"
 	serverOneWay  fault = "server-one-way"
 	serverReset   fault = "server-reset"
+	serverLimit   fault = "server-names-limit"
 	promptCrash   fault = "prompt-crashes"
 	planChange    fault = "plan-changes"
 	keyRevoke     fault = "key-revoked"
@@ -44,7 +45,7 @@
 	entryKill, entryStop, entryPause, entryReload, callerDelay, callerReset,
 	storeSilent, storeOneWay, storeRefuse, storeBusy, storeSlow, storeLost, storeForget,
 	serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset,
-	promptCrash, planChange, keyRevoke,
+	serverLimit, promptCrash, planChange, keyRevoke,
 }
 
 // Injection is one fault with its start in a run and its length.
@@ -63,8 +64,8 @@
 	quietTime = 6 * time.Second
 	// minFaultLength and maxFaultLength bound the length of a fault.
 	minFaultLength, maxFaultLength = 200 * time.Millisecond, 4 * time.Second
-	// promptCrashFactor lengthens promptCrash: its bounds apply only some time after the first crashes.
-	promptCrashFactor = 3
+	// longFaultFactor lengthens the faults whose bounds apply only some time after their start.
+	longFaultFactor = 3
 	// maxSeries is the largest number of faults in a series of one kind.
 	maxSeries = 4
 )
@@ -81,8 +82,8 @@
 			Length: minFaultLength + time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength)),
 			Kind:   allFaults[r.IntN(len(allFaults))], Pick: r.IntN(1 << 20),
 		}
-		if b.Kind == promptCrash {
-			b.Length *= promptCrashFactor
+		if b.Kind == promptCrash || b.Kind == serverLimit {
+			b.Length *= longFaultFactor
 		}
 		series := 1
 		if r.IntN(3) == 0 {
