Keep all entries together within the limits that backend servers name

Backend servers in need name the requests a second that they take from all entries together.

Cause: no entry read the limit.

Each entry now has a bucket for a limited server with a share that follows from the list of entries alone. Entries tell each other of limits named and lifted, so most comply before a server's answer tells them. What is over goes to other servers; where none has room it is refused at once, not run, with the time until it has. A limited engine is no longer the one at which prompts with the same prefix meet. The gossiper calls topics without its lock now, since this one asks for the members.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -21,6 +21,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/follower"
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
 	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/logger"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/quarantiner"
@@ -94,6 +95,9 @@
 	})
 	quarantine := quarantiner.New(quarantiner.Config{Self: s.Instance, Store: store, SharedKind: sharedObjectKind, Meter: m, Log: log})
 	platformState.OnSharedObject(func(o storer.Object) { quarantine.Merge(o, time.Now()) })
+	limits := limiter.NewServerLimits(limiter.ServerLimitsConfig{
+		Self: model.Instance{Instance: s.Instance, Place: s.Place}, Members: func() []model.Instance { return gossip.Members() }, Meter: m, Log: log,
+	})
 	var f *forwarder.Forwarder
 	gossip = gossiper.New(gossiper.Config{
 		Self: s.Instance, Place: s.Place, Address: s.Gossip, Store: store, SharedKind: sharedObjectKind, Log: log,
@@ -101,6 +105,7 @@
 		Topics: []gossiper.Topic{
 			{Broadcasts: rollouts.Broadcasts, OnBroadcast: rollouts.OnBroadcast},
 			{Broadcasts: quarantine.Broadcasts, OnBroadcast: quarantine.OnBroadcast},
+			{Broadcasts: limits.Broadcasts, OnBroadcast: limits.OnBroadcast},
 		},
 	})
 	platformState.OnSharedObject(func(o storer.Object) { gossip.UpdateMember(o, time.Now()) })
@@ -108,6 +113,7 @@
 		Settings: s, Names: platform.Names(), PlatformState: platformState,
 		Versions:   rollouts,
 		Quarantine: quarantine,
+		Limits:     limits,
 		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
 		RemoteWork: gossip.RemoteWork,
 		Clock:      follower.BootClock, Meter: m, Log: log,
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -147,10 +147,30 @@
 			// Without an id, this may be a late copy of an earlier answer on the connection.
 			return &failure{kind: failureBroken, cause: errNoRequestID}
 		}
+		f.observeLimit(rep, time.Now())
 		return f.checkHead(rep)
 	}
 }
 
+// observeLimit records the limit that a backend server names in its answer, or that it names none. Only the answer
+// to a request that ran lifts a limit.
+func (f *Forwarder) observeLimit(rep *reply, now time.Time) {
+	value := rep.Header.Get(f.cfg.Names.Limit)
+	if value == "" && rep.Header.Get(f.cfg.Names.Seal) == "" || rep.StatusCode == http.StatusMisdirectedRequest {
+		// A misdirected request was answered by another backend server.
+		return
+	}
+	rate, err := strconv.ParseFloat(value, 64)
+	if value != "" && (err != nil || !(rate >= 0 && rate <= maxServerLimit)) {
+		f.cfg.Log.Warn().Str("backend", string(rep.peer.server.Backend)).Str("limit", value).Msg("forwarder: the limit that a backend server names cannot be read")
+		return
+	}
+	f.cfg.Limits.Observe(rep.peer.server.Lifetime(), model.Rate(rate), value != "", now)
+}
+
+// maxServerLimit is the highest limit that is taken for one, in requests a second.
+const maxServerLimit = 1e6
+
 func (f *Forwarder) checkHead(rep *reply) *failure {
 	n := f.cfg.Names
 	h := rep.Header
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -51,7 +51,9 @@
 	PlatformState PlatformState
 	Versions      Versions
 	Quarantine    Quarantine
-	Cascade       chooser.CascadeConfig
+	// Limits keeps all entries within the limits that backend servers name.
+	Limits  *limiter.ServerLimits
+	Cascade chooser.CascadeConfig
 	// RemoteWork returns the open work of other entries at a backend server; nil if it is not shared.
 	RemoteWork func(b model.BackendID, now time.Time) gossiper.OpenWork
 	// Clock returns the time since boot.
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -15,13 +15,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
 var testNames = Names{
 	Request: "Id", TimeLeft: "Time-Left", Prefix: "Prefix", Session: "Session", LastEventID: "Last-Event", Seal: "Seal", Organisation: "Holder",
-	ExpectedBackend: "Meant", Load: "Load", NotRun: "Not-Run", Model: "Model", Usage: "Usage", LengthHint: "Length", Priority: "Rank",
+	ExpectedBackend: "Meant", Load: "Load", Limit: "Limit", NotRun: "Not-Run", Model: "Model", Usage: "Usage", LengthHint: "Length", Priority: "Rank",
 	Confidence: "Confidence", Scheme: "Key", ReadyPath: "/ready", MetricsPath: "/metrics",
 	Reserved: []string{"Holder", "Meant", "Rank", "Kv-From"},
 }
@@ -166,6 +167,16 @@
 	case "ok":
 		fmt.Fprint(c, answer(req, "", "answer"))
 		return true
+	case "limit":
+		// The answer names the limit after the word.
+		fmt.Fprint(c, answer(req, "Limit: "+rest+"\r\n", "answer"))
+		return true
+	case "limitbusy":
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n", id, rest)
+		return true
+	case "limitelsewhere":
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n", rest)
+		return true
 	case "foreign":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "other"), "Id: "+id, "Id: other", 1), answer(req, "", "answer"))
 		return true
@@ -350,6 +361,9 @@
 		},
 		Cascade: chooser.CascadeConfig{Floors: []int{70}},
 		Names:   testNames, PlatformState: state, Versions: allVersions{}, Quarantine: q,
+		Limits: limiter.NewServerLimits(limiter.ServerLimitsConfig{
+			Self: model.Instance{Instance: "e0"}, Members: func() []model.Instance { return nil }, Meter: meter.New(), Log: zerolog.Nop(),
+		}),
 		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
 	})
 	listen := func() net.Listener {
--- a/internal/forwarder/names.go
+++ b/internal/forwarder/names.go
@@ -20,6 +20,8 @@
 	ExpectedBackend string
 	// Load carries the numbers of running and waiting requests and of slots.
 	Load string
+	// Limit carries the requests a second that a backend server in need takes from all entries together.
+	Limit string
 	// NotRun marks an answer whose request did not run and will not run.
 	NotRun string
 	// Model carries the model that must answer.
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -9,15 +9,43 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// pickBackend chooses the backend server for the next attempt.
+// pickBackend chooses the backend server for the next attempt and counts the request against the limit that the
+// server may have named.
 func (f *Forwarder) pickBackend(c *call, now time.Time) (*peer, bool) {
 	candidates := f.candidates(c, now)
+	for {
+		p, ok := f.pickCandidate(c, candidates, now)
+		// Another request may have used up the limit after the choice, which then bars the server.
+		if !ok || f.cfg.Limits.Take(p.server, now) {
+			return p, ok
+		}
+	}
+}
+
+func (f *Forwarder) pickCandidate(c *call, candidates []model.BackendServer, now time.Time) (*peer, bool) {
 	if c.service.Engine != nil {
 		return f.pickEngine(c, candidates, now)
 	}
 	return f.pickPlain(c, candidates, now)
 }
 
+// refuseLimited returns the refusal of a request whose backend servers have all used up the limits that they named,
+// or nil if there is another reason why none was chosen.
+func (f *Forwarder) refuseLimited(c *call, now time.Time) *model.Refusal {
+	wait := time.Duration(0)
+	for _, s := range f.candidates(c, now) {
+		if limited, w := f.cfg.Limits.Check(s, now); limited && (wait == 0 || w < wait) {
+			wait = w
+		}
+	}
+	if wait == 0 {
+		return nil
+	}
+	f.cfg.Meter.Count("limits/refused", 1)
+	return model.Refuse(model.KindOverload, "all backend servers that may run the request have named limits, which are used up: try again later").
+		WithRetry(max(minRetry, time.Duration((1+rand.Float64())*float64(wait))))
+}
+
 // candidates returns the backend servers that are eligible for the next attempt.
 func (f *Forwarder) candidates(c *call, now time.Time) []model.BackendServer {
 	servers := f.cfg.PlatformState.Servers(c.service.Service, now)
@@ -32,8 +60,12 @@
 }
 
 func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
-	in := picker.DirectInput{Self: f.cfg.Settings.Place, Draw: rand.Float64(), Excluded: map[model.BackendID]bool{}}
+	in := picker.DirectInput{Self: f.cfg.Settings.Place, Draw: rand.Float64(), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	for _, s := range servers {
+		if _, wait := f.cfg.Limits.Check(s, now); wait > 0 {
+			in.Barred[s.Backend] = true
+			continue
+		}
 		b, excluded := f.peers.get(s, now).asBackend(s, f.remoteWork(s.Backend, now), now)
 		in.Excluded[s.Backend] = excluded
 		in.Backends = append(in.Backends, b)
@@ -53,7 +85,7 @@
 
 // chooseEngine chooses the engine for the call's prompt if model m answers.
 func (f *Forwarder) chooseEngine(c *call, m model.ModelID, servers []model.BackendServer, now time.Time) (picker.EngineChoice, picker.EngineInput) {
-	in := picker.EngineInput{Self: f.cfg.Settings.Place, PrefixKey: c.prefixKey(m), Excluded: map[model.BackendID]bool{}}
+	in := picker.EngineInput{Self: f.cfg.Settings.Place, PrefixKey: c.prefixKey(m), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	in.PrefillTime, in.SharedPrefillTime = f.speeds.estimatePrefill(m, c.service.Engine, c.prompt)
 	if len(c.route.Models) > 1 {
 		in.SmallestModel = m == c.route.Models[0]
@@ -61,7 +93,13 @@
 	}
 	for _, s := range servers {
 		e, excluded := f.peers.get(s, now).asEngine(s, in.PrefixKey, f.remoteWork(s.Backend, now), now)
-		in.Excluded[s.Backend] = excluded
+		limited, wait := f.cfg.Limits.Check(s, now)
+		e.Limited = limited
+		if wait > 0 {
+			in.Barred[s.Backend] = true
+		} else {
+			in.Excluded[s.Backend] = excluded
+		}
 		in.Engines = append(in.Engines, e)
 	}
 	if allExcluded(in.Excluded) {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -62,6 +62,9 @@
 		now := time.Now()
 		p, ok := f.pickBackend(c, now)
 		if !ok {
+			if refusal := f.refuseLimited(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
+				last = refusal
+			}
 			break
 		}
 		if c.sent == 0 && !f.canFinish(c.expected, now) {
--- a/internal/forwarder/suspects.go
+++ b/internal/forwarder/suspects.go
@@ -151,7 +151,7 @@
 			Str("parts", strings.Join(a.call.prompt.parts, ",")).AnErr("cause", dialError).Msg("forwarder: a backend server crashed while it ran the request")
 		traits = append(traits, a.call.traits...)
 	}
-	f.cfg.Quarantine.RecordCrash(model.ServerLifetime{Backend: p.server.Backend, StartUnixMilli: p.server.StartUnixMilli}, traits, now)
+	f.cfg.Quarantine.RecordCrash(p.server.Lifetime(), traits, now)
 }
 
 // errUnframedEnd means that an answer without a length and without chunks ended before its first event: its
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -72,7 +72,7 @@
 // Topic is one kind of broadcast.
 type Topic struct {
 	// Broadcasts returns the new payloads since its last call, to be sent to all entries.
-	Broadcasts func() [][]byte
+	Broadcasts func(now time.Time) [][]byte
 	// OnBroadcast is called with each payload from another entry.
 	OnBroadcast func(payload []byte, now time.Time)
 }
@@ -240,7 +240,7 @@
 // work message if there is no open work and the last message held none either.
 func (g *Gossiper) sendUpdates(conn *net.UDPConn, now time.Time) {
 	for i, topic := range g.cfg.Topics {
-		for _, payload := range topic.Broadcasts() {
+		for _, payload := range topic.Broadcasts(now) {
 			g.send(conn, append([]byte{messageBroadcast + byte(i)}, payload...), g.recipients(true, now))
 		}
 	}
@@ -297,14 +297,11 @@
 
 // handleMessage processes one message. It ignores messages from addresses that the store does not list.
 func (g *Gossiper) handleMessage(msg []byte, from netip.AddrPort, now time.Time) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m := g.byAddr[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
-	if m == nil {
+	if !g.recordHeard(from, now) {
 		return nil
 	}
-	m.lastHeard = now
 	if len(msg) > 0 && msg[0] >= messageBroadcast && int(msg[0]) < messageBroadcast+len(g.cfg.Topics) {
+		// The lock is not held, since the topic may ask for the members.
 		g.cfg.Topics[msg[0]-messageBroadcast].OnBroadcast(slices.Clone(msg[1:]), now)
 		return nil
 	}
@@ -312,6 +309,26 @@
 	if err != nil {
 		return err
 	}
-	m.work = work
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.byAddr[memberAddress(from)]; m != nil {
+		m.work = work
+	}
 	return nil
 }
+
+// recordHeard records a message from an address and reports whether it is that of a member.
+func (g *Gossiper) recordHeard(from netip.AddrPort, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.byAddr[memberAddress(from)]
+	if m == nil {
+		return false
+	}
+	m.lastHeard = now
+	return true
+}
+
+func memberAddress(from netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+}
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -32,10 +32,10 @@
 			Self: model.InstanceID(fmt.Sprint("e", i)), Place: model.Place{Region: region}, Address: conn.LocalAddr().String(),
 			Store: platform, SharedKind: "marks", Local: func() map[model.BackendID]OpenWork { return work }, Log: zerolog.Nop(),
 			Topics: []Topic{{
-				Broadcasts:  func() [][]byte { return nil },
+				Broadcasts:  func(time.Time) [][]byte { return nil },
 				OnBroadcast: func([]byte, time.Time) { t.Error("a payload arrived under another topic") },
 			}, {
-				Broadcasts: func() [][]byte { return [][]byte{[]byte("news")} },
+				Broadcasts: func(time.Time) [][]byte { return [][]byte{[]byte("news")} },
 				OnBroadcast: func(payload []byte, _ time.Time) {
 					if string(payload) == "news" {
 						received[i].Add(1)
--- a/internal/picker/direct.go
+++ b/internal/picker/direct.go
@@ -22,7 +22,9 @@
 	Backends []Backend
 	Self     model.Place
 	Excluded map[model.BackendID]bool
-	Draw     float64
+	// Barred backend servers must not get the request, even if all others are excluded.
+	Barred map[model.BackendID]bool
+	Draw   float64
 }
 
 // DirectChoice is the chosen backend server, if one was found, with its load before the distance
@@ -48,7 +50,7 @@
 func (LeastLoaded) Decide(in DirectInput) DirectChoice {
 	eligible := make([]Backend, 0, len(in.Backends))
 	for _, b := range in.Backends {
-		if b.Server.State == model.BackendReady && !in.Excluded[b.Server.Backend] {
+		if b.Server.State == model.BackendReady && !in.Excluded[b.Server.Backend] && !in.Barred[b.Server.Backend] {
 			eligible = append(eligible, b)
 		}
 	}
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -44,6 +44,8 @@
 	Busy int
 	// PrefixCached is true if the engine recently prefilled the shared parts of the prompt.
 	PrefixCached bool
+	// Limited is true if the engine takes only a limited number of requests a second.
+	Limited bool
 }
 
 // EngineInput is the input to the choice of an engine.
@@ -58,6 +60,8 @@
 	// PrefillTime is the prefill time of the whole prompt, SharedPrefillTime that of its shared parts.
 	PrefillTime, SharedPrefillTime time.Duration
 	Excluded                       map[model.BackendID]bool
+	// Barred engines must not get the request, even if all others are excluded.
+	Barred map[model.BackendID]bool
 }
 
 // EngineChoice is the chosen engine, if one was found, with the values behind the choice.
@@ -91,12 +95,12 @@
 	reserved := reservedEngines(in)
 	busy, slots := 0, 0
 	for _, e := range engines {
-		if e.Server.State != model.BackendReady || in.Excluded[e.Server.Backend] {
+		if e.Server.State != model.BackendReady || in.Excluded[e.Server.Backend] || in.Barred[e.Server.Backend] {
 			continue
 		}
 		best.Eligible++
 		mismatch := in.SmallestModel && !reserved[e.Server.Backend] || in.LargerModel && reserved[e.Server.Backend]
-		if !preferredFound && !mismatch && (in.LargerModel || e.Server.Place.Region == in.Self.Region) {
+		if !preferredFound && !mismatch && !e.Limited && (in.LargerModel || e.Server.Place.Region == in.Self.Region) {
 			// Other entries send prompts with the same shared parts to this engine as well.
 			preferredFound, e.PrefixCached = true, in.PrefixKey != ""
 		}
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -44,7 +44,7 @@
 }
 
 // Broadcasts returns the encoded evidence that was not yet sent to the other entries.
-func (q *Quarantiner) Broadcasts() [][]byte {
+func (q *Quarantiner) Broadcasts(time.Time) [][]byte {
 	q.mu.Lock()
 	unsent := q.unsent
 	q.unsent = nil
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -47,7 +47,7 @@
 	f.t.Helper()
 	for range 3 {
 		for i, e := range f.entries {
-			for _, b := range e.Broadcasts() {
+			for _, b := range e.Broadcasts(now) {
 				for j, other := range f.entries {
 					if i != j && !f.cutOff[i] && !f.cutOff[j] {
 						other.OnBroadcast(b, now)
@@ -203,7 +203,7 @@
 			names = append(names, fmt.Sprintf("part.%d.%020d", i, n))
 		}
 		q.RecordCrash(model.ServerLifetime{Backend: model.BackendID(fmt.Sprint("b", i))}, traits(names), now)
-		for _, b := range q.Broadcasts() {
+		for _, b := range q.Broadcasts(now) {
 			if len(b) > 1200 {
 				t.Fatalf("a message has %d bytes, which do not fit into a packet", len(b))
 			}
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -228,7 +228,7 @@
 }
 
 // Broadcasts returns the encoded evidence that was not yet sent to the other entries, and clears it.
-func (s *Shifter) Broadcasts() [][]byte {
+func (s *Shifter) Broadcasts(time.Time) [][]byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out [][]byte
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -297,7 +297,7 @@
 	}
 	share := func() {
 		for i, e := range entries {
-			for _, b := range e.Broadcasts() {
+			for _, b := range e.Broadcasts(now) {
 				for k, other := range entries {
 					if k != i {
 						other.OnBroadcast(b, now)
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -202,7 +202,7 @@
 		return false, err
 	}
 	defer resp.Body.Close()
-	rec.HeadAt, rec.Status, rec.Seal, rec.Limit = time.Now(), resp.StatusCode, resp.Header.Get(names.Seal), resp.Header.Get("Server-Limit")
+	rec.HeadAt, rec.Status, rec.Seal, rec.Limit = time.Now(), resp.StatusCode, resp.Header.Get(names.Seal), resp.Header.Get(names.Limit)
 	if id := resp.Header.Get(names.Request); id != rec.ID {
 		rec.OtherID = id
 	}
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -136,6 +136,11 @@
 	StartUnixMilli int64
 }
 
+// Lifetime returns the identity of this start of the backend server.
+func (s BackendServer) Lifetime() ServerLifetime {
+	return ServerLifetime{Backend: s.Backend, StartUnixMilli: s.StartUnixMilli}
+}
+
 // RolloutOrder asks to shift a service's requests to a version.
 type RolloutOrder struct {
 	Service  ServiceID
