Hold a new version on which suspicion lies instead of completing it

Cause, of both: all requests move when the time has come, unless a verdict has been reached, so a version that is under suspicion counts as acquitted. Nothing can be taken back after that, since the old version's servers stop. Crashes and hanging servers beside it leave the canary fewer streams, which is why other trouble makes it likelier.

A version with a quarter of a verdict against it now stays a canary, or stays uncompleted, until the suspicion ends or becomes a verdict, for at most the order's duration more. Traffic of a canary stays within the exposure bound, and a good version that is completed late costs little.

TestDueAction fails without the change for a canary of ten streams of which five are slow.

--- a/internal/shifter/evaluator.go
+++ b/internal/shifter/evaluator.go
@@ -157,8 +157,15 @@
 	for id, r := range e.Servers {
 		ev.servers[id] = ev.servers[id].plus(r)
 	}
-	v := ev.guard.Observe(e.Heads)
-	if p := ev.pace.Observe(e.Pace); p.Level > v.Level {
+	ev.guard.Observe(e.Heads)
+	ev.pace.Observe(e.Pace)
+	return ev.verdict()
+}
+
+// verdict returns the current verdict on the new version.
+func (ev *evaluator) verdict() guard.Verdict {
+	v := ev.guard.Verdict()
+	if p := ev.pace.Verdict(); p.Level > v.Level {
 		v = p
 		v.Reason = "its streams are slower than those of the version beside it"
 	}
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -40,6 +40,11 @@
 	// minDrain is the time that the old version's streams get at least if the new version gets all requests
 	// too late to be completed in time.
 	minDrain = 2 * time.Second
+	// holdLevel is the level of suspicion, as a part of that of a verdict, at which a version is held. Versions in
+	// good order hardly reach it.
+	holdLevel = 0.25
+	// maxHold is how long a version is held at most, as a part of the order's duration.
+	maxHold = 1.0
 	// defaultDuration is the duration of an order that sets none.
 	defaultDuration = time.Minute
 	// defaultExposure is the exposure bound if the settings set none.
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -307,6 +307,8 @@
 		return actionBegin
 	case r.elapsedAt(now) < r.schedule.next(r.stage)+wait:
 		return actionNone
+	case r.isHeld(now):
+		return actionNone
 	case r.stage < stageFull:
 		return actionStage
 	case r.elapsed > r.order.Duration-2*checkInterval && now.Sub(r.stageSeen) < minDrain:
@@ -315,6 +317,14 @@
 	return actionComplete
 }
 
+// isHeld reports whether the version neither gets all requests nor is completed yet because of a suspicion. Once it
+// is completed, nothing can be taken back. The canary goes on meanwhile, so that the suspicion ends or becomes a
+// verdict; that of a version with few requests ends by time.
+func (r *rollout) isHeld(now time.Time) bool {
+	return r.stage > stageSessionless && r.evaluator.verdict().Level >= holdLevel &&
+		r.elapsedAt(now) < r.schedule.next(stageCanary)+time.Duration(maxHold*float64(r.order.Duration))
+}
+
 func (s *Shifter) advance(ctx context.Context, service model.ServiceID, now time.Time) {
 	s.mu.Lock()
 	r := s.rollout(service, now)
@@ -328,7 +338,8 @@
 		return
 	}
 	r.busy, r.next = true, now.Add(writeRetryPause)
-	order, reason := r.order, r.reason
+	order, reason, verdict := r.order, r.reason, r.evaluator.verdict()
+	requests, streams := r.evaluator.guard.Seen(), r.evaluator.pace.Seen()
 	next := storedStage{Order: order.Created, Version: order.Version, Stage: r.stage + 1, Elapsed: r.elapsedAt(now)}
 	s.mu.Unlock()
 	go func() {
@@ -341,7 +352,8 @@
 			log = s.cfg.Log.Warn().Err(err)
 		}
 		log.Str("service", string(service)).Str("version", string(order.Version)).Str("deed", string(d)).Int("stage", int(next.Stage-1)).
-			Int64("revision", int64(order.Revision)).Str("reason", reason).Msg("shifter: roll-out write finished")
+			Int64("revision", int64(order.Revision)).Str("reason", reason).Float64("level", verdict.Level).Str("why", verdict.Reason).
+			Int("seen", requests).Int("streams", streams).Msg("shifter: roll-out write finished")
 	}()
 }
 
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -209,12 +209,16 @@
 		State   model.RolloutStatus
 		Bad     bool
 		Busy    bool
-		Want    action
+		// Streams and Slow are the numbers of the new version's streams, and of those that are four times slower.
+		Streams, Slow int
+		Want          action
 	}
 	start := time.Unix(1000, 0)
 	for _, c := range tester.Load[actionCase](t, "actions.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
-			r := &rollout{order: testOrder(c.State, ""), schedule: newSchedule(24*time.Second, 0.15), stage: c.Stage, stageSeen: start, elapsed: c.Elapsed, bad: c.Bad, busy: c.Busy}
+			r := &rollout{order: testOrder(c.State, ""), schedule: newSchedule(24*time.Second, 0.15), stage: c.Stage, stageSeen: start, elapsed: c.Elapsed, bad: c.Bad, busy: c.Busy, evaluator: newEvaluator()}
+			observeStreams(r.evaluator, 400, 0, true)
+			observeStreams(r.evaluator, c.Streams, c.Slow, false)
 			if diff := cmp.Diff(c.Want, dueAction(r, "entry-1", start.Add(c.Since))); diff != "" {
 				t.Errorf("action (-want +got):\n%s", diff)
 			}
@@ -222,6 +226,21 @@
 	}
 }
 
+// observeStreams records streams of the old or the new version, of which some are four times slower.
+func observeStreams(ev *evaluator, streams, slow int, old bool) {
+	for i := range streams {
+		o := forwarder.Outcome{Backend: model.BackendID(fmt.Sprint("b", i%6)), Route: "r", Model: "m", EventInterval: 40 * time.Millisecond}
+		if i%max(streams/max(slow, 1), 1) == 0 && i/max(streams/max(slow, 1), 1) < slow {
+			o.EventInterval *= 4
+		}
+		if old {
+			ev.observeControl(o)
+		} else {
+			ev.observe(ev.evidenceFrom(o, true))
+		}
+	}
+}
+
 // TestVerdict replays outcomes of an old and a new version.
 func TestVerdict(t *testing.T) {
 	type phase struct {
