Do not ban what servers that end together do not share

Cause: each crash counted by itself, so three servers that ended at one moment accused whatever happened to wait at all three; nobody can be answered meanwhile, so nothing acquitted it. Four or more servers that end within 0.4 s now count only against traits that three quarters of them share, an answer acquits of crashes up to four seconds later, and the bans follow the evidence ten times a second instead of with each message.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -132,7 +132,7 @@
 // got an answer are the first to explain crashes, then those with the most crashes, then the deeper ones.
 func (e *evidence) bans() map[model.TraitID]time.Time {
 	out := map[model.TraitID]time.Time{}
-	open := maps.Clone(e.crashes)
+	open := e.attributableCrashes()
 	for {
 		c, ok := e.topCandidate(open)
 		if !ok {
@@ -146,14 +146,60 @@
 	}
 }
 
+// attributableCrashes returns the crashes with the suspects that may have caused enough of them. Backend servers that end
+// together have a cause in common: only a trait that most of them share can be it.
+func (e *evidence) attributableCrashes() map[model.ServerLifetime]*crash {
+	type end struct {
+		server model.ServerLifetime
+		*crash
+	}
+	ends := make([]end, 0, len(e.crashes))
+	for s, c := range e.crashes {
+		likely := &crash{at: c.at, suspects: map[model.TraitID]int{}}
+		for t, depth := range c.suspects {
+			if e.accused[t] >= banThreshold && !e.isCleared(t, c.at) {
+				likely.suspects[t] = depth
+			}
+		}
+		ends = append(ends, end{s, likely})
+	}
+	slices.SortFunc(ends, func(a, b end) int { return a.at.Compare(b.at) })
+	out := make(map[model.ServerLifetime]*crash, len(ends))
+	first, last := 0, 0
+	for _, c := range ends {
+		for c.at.Sub(ends[first].at) > togetherWindow {
+			first++
+		}
+		for last < len(ends) && ends[last].at.Sub(c.at) <= togetherWindow {
+			last++
+		}
+		together := ends[first:last]
+		if len(together) < minTogether {
+			out[c.server] = c.crash
+			continue
+		}
+		shared := &crash{at: c.at, suspects: map[model.TraitID]int{}}
+		for t, depth := range c.suspects {
+			n := 0
+			for _, other := range together {
+				if _, ok := other.suspects[t]; ok {
+					n++
+				}
+			}
+			if float64(n) >= togetherShare*float64(len(together)) {
+				shared.suspects[t] = depth
+			}
+		}
+		out[c.server] = shared
+	}
+	return out
+}
+
 // topCandidate returns the trait that most likely caused at least banThreshold of the crashes.
 func (e *evidence) topCandidate(crashes map[model.ServerLifetime]*crash) (candidate, bool) {
 	byTrait := map[model.TraitID]*candidate{}
 	for _, cr := range crashes {
 		for t, depth := range cr.suspects {
-			if e.accused[t] < banThreshold || e.isCleared(t, cr.at) {
-				continue
-			}
 			c := byTrait[t]
 			if c == nil {
 				_, proven := e.proven[t]
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -92,7 +92,8 @@
 	for _, t := range m.Proven {
 		q.evidence.prove(t, 0, now, false)
 	}
-	q.judge(now)
+	q.unjudged = true
+	q.evidence.expire(now)
 }
 
 // accuse adds a crash that another entry saw, and clears suspects which this entry knows to be harmless. The
@@ -141,7 +142,8 @@
 		}
 		q.evidence.prove(t, 0, at, false)
 	}
-	q.judge(now)
+	q.unjudged = true
+	q.evidence.expire(now)
 }
 
 // pastTime converts a Unix time in milliseconds to the local clock. A time in the future is that of a clock that
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -23,7 +23,15 @@
 	banDuration = 10 * time.Minute
 	// provenGrace is how long before a crash an answer clears a trait of having caused it. It is longer than
 	// servers in good order need to begin an answer, so that traits in steady use are never suspected.
-	provenGrace = 2 * time.Second
+	provenGrace = 4 * time.Second
+	// togetherWindow is the time to either side of a crash within which other backend servers end together with it,
+	// if there are minTogether of them in all, and togetherShare the share of them that a trait must have as suspects
+	// to have caused that.
+	togetherWindow = 200 * time.Millisecond
+	minTogether    = 4
+	togetherShare  = 0.75
+	// judgeInterval is how often the bans follow the evidence, which changes with each message in a storm of crashes.
+	judgeInterval = 100 * time.Millisecond
 	// maxCrashes and maxSuspects bound the crashes that are kept, and the traits that are kept for one crash.
 	maxCrashes, maxSuspects = 256, 128
 	// tellInterval is the least time between two messages that clear the same trait.
@@ -56,6 +64,9 @@
 	evidence evidence
 	// bans holds when the ban of each banned trait ends.
 	bans map[model.TraitID]time.Time
+	// unjudged is set while the evidence has changed since judgedAt, when the bans were last brought up to date.
+	unjudged bool
+	judgedAt time.Time
 	// own holds the crashes that this entry saw, and told when it last told the others that one of its answers
 	// cleared a trait. Both are published.
 	own  map[model.ServerLifetime]*crashMessage
@@ -76,11 +87,9 @@
 
 // IsBanned reports whether a request with the traits must be refused.
 func (q *Quarantiner) IsBanned(traits []model.Trait, now time.Time) bool {
+	q.judgeIfDue(now)
 	q.mu.RLock()
 	defer q.mu.RUnlock()
-	if len(q.bans) == 0 {
-		return false
-	}
 	for _, t := range traits {
 		if now.Before(q.bans[t.ID]) {
 			return true
@@ -105,7 +114,8 @@
 		c.Traits = append(c.Traits, added...)
 	}
 	q.unsent = append(q.unsent, message{Crashes: []crashMessage{{Server: s, Traits: added}}})
-	q.judge(now)
+	q.unjudged = true
+	q.evidence.expire(now)
 	q.wake()
 }
 
@@ -124,7 +134,7 @@
 		}
 	}
 	if cleared {
-		q.judge(now)
+		q.unjudged = true
 	}
 }
 
@@ -138,8 +148,20 @@
 	q.wake()
 }
 
-// judge brings the bans up to date with the evidence. The caller holds the lock.
-func (q *Quarantiner) judge(now time.Time) {
+// judgeIfDue brings the bans up to date with the evidence, if it has changed, once in judgeInterval.
+func (q *Quarantiner) judgeIfDue(now time.Time) {
+	q.mu.RLock()
+	due := q.unjudged && now.Sub(q.judgedAt) >= judgeInterval
+	q.mu.RUnlock()
+	if !due {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.unjudged {
+		return
+	}
+	q.unjudged, q.judgedAt = false, now
 	q.evidence.expire(now)
 	bans := q.evidence.bans()
 	for t, until := range bans {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -126,6 +126,7 @@
 				}
 				f.exchange(now)
 			}
+			now = now.Add(judgeInterval)
 			slices.Sort(names)
 			var got [][]string
 			for _, e := range f.entries {
@@ -163,6 +164,7 @@
 		t.Error("banned by an object that cannot be read")
 	}
 	q.OnBroadcast([]byte(crashes), now)
+	now = now.Add(judgeInterval)
 	if !q.IsBanned(traits([]string{"bad"}), now) {
 		t.Error("not banned by a message that can be read")
 	}
