Bound the evidence that waits while no gossip is sent

An entry that cannot open its gossip socket never collects what it has to tell other entries of crashes, so the list grew with each crash. It holds 1,024 messages now; the published evidence has their content. Found when reading the diff; TestEvidenceIsBounded covers it.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -21,8 +21,8 @@
 	banThreshold = 3
 	// banDuration is how long a crash counts, and so how long a trait is banned after its last crash.
 	banDuration = 10 * time.Minute
-	// provenGrace is how long before a crash an answer clears a trait of having caused it. It is longer than
-	// servers in good order need to begin an answer, so that traits in steady use are never suspected.
+	// provenGrace is how long before a crash an answer clears a trait of having caused it, so that traits in
+	// steady use are not suspected.
 	provenGrace = 4 * time.Second
 	// togetherWindow is the time to either side of a crash within which other backend servers end together with it,
 	// if there are minTogether of them in all, and togetherShare the share of them that a trait must have as suspects
@@ -34,6 +34,8 @@
 	judgeInterval = 100 * time.Millisecond
 	// maxCrashes and maxSuspects bound the crashes that are kept, and the traits that are kept for one crash.
 	maxCrashes, maxSuspects = 256, 128
+	// maxUnsent bounds the messages that wait while no gossip is sent; the published evidence has their content.
+	maxUnsent = 1024
 	// tellInterval is the least time between two messages that clear the same trait.
 	tellInterval = time.Second
 	// maxProven is the number of proven traits from which old ones are deleted.
@@ -113,9 +115,16 @@
 	} else {
 		c.Traits = append(c.Traits, added...)
 	}
-	q.unsent = append(q.unsent, message{Crashes: []crashMessage{{Server: s, Traits: added}}})
+	q.send(message{Crashes: []crashMessage{{Server: s, Traits: added}}})
 	q.unjudged = true
 	q.evidence.expire(now)
+}
+
+// send queues a message to the other entries and wakes Run. The caller holds the lock.
+func (q *Quarantiner) send(m message) {
+	if len(q.unsent) < maxUnsent {
+		q.unsent = append(q.unsent, m)
+	}
 	q.wake()
 }
 
@@ -144,8 +153,7 @@
 		return
 	}
 	q.told[t] = now
-	q.unsent = append(q.unsent, message{Proven: []model.TraitID{t}})
-	q.wake()
+	q.send(message{Proven: []model.TraitID{t}})
 }
 
 // judgeIfDue brings the bans up to date with the evidence, if it has changed, once in judgeInterval.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -214,9 +214,18 @@
 	if err := q.publish(t.Context(), now); err != nil {
 		t.Fatal(err)
 	}
+	for i := range 2 * maxUnsent {
+		q.RecordCrash(model.ServerLifetime{Backend: "b", StartUnixMilli: int64(i + 1)}, traits([]string{"bad"}), now)
+	}
+	if n := len(q.unsent); n > maxUnsent {
+		t.Errorf("%d messages wait to be sent, want at most %d", n, maxUnsent)
+	}
 	if n := len(q.evidence.crashes); n > maxCrashes {
 		t.Errorf("%d crashes are kept, want at most %d", n, maxCrashes)
 	}
+	if err := q.publish(t.Context(), now); err != nil {
+		t.Fatal(err)
+	}
 	if n := len(q.own); n > maxCrashes {
 		t.Errorf("%d own crashes are kept, want at most %d", n, maxCrashes)
 	}
