Give requests of the soak ids of their own; do not count ended servers

The first is the soak's own fault: two overlapping series of crashing requests drew the same ids, as the reported ids show, and the checker joined the records of two callers. Their seeds come from a counter now.

The second counts servers that ended while the request was on its way, which the users' rule on attempts leaves out: a request whose reused connection breaks at once is sent again without counting the attempt, and a crash of the server looks just so. A crash before the request excuses nothing, as promises.yaml has it.

--- a/internal/soaker/prompts.go
+++ b/internal/soaker/prompts.go
@@ -15,6 +15,8 @@
 const (
 	// crashingInterval is the time between two requests with a part that crashes backend servers.
 	crashingInterval = 120 * time.Millisecond
+	// crashingSeeds is above the seeds of all other callers, from which the ids of requests are drawn.
+	crashingSeeds = 1 << 63
 	// crashDowntime is how long a backend server is down after such a crash.
 	crashDowntime = time.Second
 )
@@ -38,7 +40,7 @@
 	})
 	end := time.Now().Add(inj.Length)
 	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
-		c := &caller{entry: s.entries[(inj.Pick+n)%len(s.entries)], seed: uint64(inj.Pick)<<32 + uint64(n), part: part, nextKey: s.pickKey, results: records}
+		c := &caller{entry: s.entries[(inj.Pick+n)%len(s.entries)], seed: crashingSeeds + s.crashingSent.Add(1), part: part, nextKey: s.pickKey, results: records}
 		senders.Go(c.runOnce)
 		sleep(ctx, crashingInterval)
 	}
@@ -47,6 +49,13 @@
 	collector.Wait()
 }
 
+// endedMeanwhile reports whether a backend server ended while the request was on its way.
+func (t tracedRequest) endedMeanwhile(h history, server string) bool {
+	during := func(at time.Time) bool { return at.After(t.Sent) && at.Before(t.Ended) }
+	return slices.ContainsFunc(h.PromptCrashes, func(c promptCrashed) bool { return c.Server == server && during(c.At) }) ||
+		slices.ContainsFunc(h.Spans, func(s faultSpan) bool { return s.Kind == serverCrash && s.Target == server && during(s.From) })
+}
+
 // crashByPrompt crashes a backend server because of a part of a prompt and starts it again under a new id.
 func (s *soak) crashByPrompt(srv *serverSlot, id, part string) {
 	if !srv.crashIfUp(id) {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,8 @@
 	servers []*serverSlot
 	// restarts waits for the backend servers that parts of prompts have crashed.
 	restarts sync.WaitGroup
+	// crashingSent counts the requests of sendCrashingRequests.
+	crashingSent atomic.Uint64
 
 	mu         sync.Mutex
 	history    history
