--- a/internal/forwarder/suspects_test.go
+++ b/internal/forwarder/suspects_test.go
@@ -145,3 +145,31 @@
 		t.Errorf("%d requests reached backend servers, want 3", n)
 	}
 }
+
+// TestCrashUnderReusedConnection checks that a request whose backend server crashes under a reused connection may
+// still be sent to as many others as its route allows: the server that ended does not count as an attempt.
+func TestCrashUnderReusedConnection(t *testing.T) {
+	b := &backends{t: t, replies: []string{"ok", "crash", "reset", "reset", "ok"}}
+	servers := b.start(4)
+	state := &fakeState{plan: testPlan(), servers: servers[:1]}
+	e := startEntry(t, state)
+	if status := postPrompt(t, e, "/safe/a", "request-1", ""); status != http.StatusOK {
+		t.Fatalf("first request: status %d, want 200", status)
+	}
+	state.servers = servers
+	e.peers.get(servers[0], time.Now())
+	for _, s := range servers[1:] {
+		e.peers.get(s, time.Now()).recordLoad("8,8,8", time.Now())
+	}
+	status := postPrompt(t, e, "/safe/a", "request-2", "")
+	var reached []string
+	for _, r := range b.seen() {
+		if r.Header.Get("Id") == "request-2" {
+			reached = append(reached, r.Header.Get("Meant"))
+		}
+	}
+	slices.Sort(reached)
+	if diff := cmp.Diff([]string{"b0", "b1", "b2", "b3"}, reached); diff != "" || status != http.StatusOK {
+		t.Errorf("status %d, backend servers reached (-want +got):\n%s", status, diff)
+	}
+}
