Log which answers of the store and which plans are ignored

Three hypotheses were open and the logs could not tell them apart: entries logged neither that they took a listing for a stale read nor that they skipped a plan. No logic is changed.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -188,7 +188,11 @@
 // applyPlan puts a newer plan in force. If it cannot be decoded, the previous plan stays in force.
 func (f *Follower) applyPlan(b batch, _ time.Time) {
 	for _, o := range b.objects {
-		if !f.cfg.Decode.IsPlan(o.Key) || o.Deleted || o.Revision <= f.planRev {
+		if !f.cfg.Decode.IsPlan(o.Key) || o.Deleted {
+			continue
+		}
+		if o.Revision <= f.planRev {
+			f.cfg.Log.Info().Int64("revision", int64(o.Revision)).Int64("known", int64(f.planRev)).Msg("follower: plan is not newer than the one in force and is ignored")
 			continue
 		}
 		p, err := f.cfg.Decode.Plan(o.Value)
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -66,7 +66,7 @@
 func (f *Follower) followKind(ctx context.Context, s subscription) {
 	var from model.Revision
 	var lostAt time.Time
-	full, immediate, backoff := true, false, firstBackoff
+	full, immediate, stale, backoff := true, false, false, firstBackoff
 	for ctx.Err() == nil {
 		if s.confirm == nil && f.relayed.awaitInactive(ctx) {
 			// Relays told of changes meanwhile; what they did not tell comes at once.
@@ -81,6 +81,11 @@
 		case err == nil && listing.Revision < from:
 			// A stale read: the answer is older than the last one.
 			f.countCall(s, "stale")
+			if !stale {
+				f.cfg.Log.Warn().Str("kind", s.kind).Int64("from", int64(from)).Int64("revision", int64(listing.Revision)).
+					Bool("full", full).Msg("follower: answer of the store is older than the last one and is ignored")
+			}
+			stale = true
 			pauser.Pause(ctx, backoff)
 			continue
 		case storer.IsKind(err, storer.KindCompacted):
@@ -115,6 +120,7 @@
 			continue
 		}
 		f.countCall(s, "answered")
+		stale = false
 		regained := !lostAt.IsZero() && now.Sub(lostAt) >= minOutage
 		if !lostAt.IsZero() {
 			f.cfg.Log.Info().Str("kind", s.kind).Dur("away", now.Sub(lostAt)).Int64("revision", int64(listing.Revision)).Msg("follower: store regained")
