Reproduce plans that are not in force after a restore of the store

What callers saw: after a restore, requests on a new route get 404, requests on a removed one are served, and requests with keys are refused for seconds.

The soak has the fault store-restored: the store is away, comes back from a copy, the operator writes the newest plan and living servers write their entries again.

--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -32,7 +32,7 @@
 	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit:
 		target = srv.id()
 		s.injectServerFault(ctx, inj, srv)
-	case storeBusy, storeSlow, storeLost, storeForget:
+	case storeBusy, storeSlow, storeLost, storeForget, storeRestore:
 		s.injectStoreFault(ctx, inj)
 	case promptCrash:
 		s.sendCrashingRequests(ctx, inj)
@@ -148,6 +148,9 @@
 		s.store.DropHistory()
 		s.store.SetFaults(standin.StoreFaults{})
 		return
+	case storeRestore:
+		s.restoreStore(ctx, inj)
+		return
 	}
 	sleep(ctx, inj.Length)
 	s.store.SetFaults(standin.StoreFaults{})
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -24,6 +24,7 @@
 	storeSlow     fault = "store-slow"
 	storeLost     fault = "store-answers-lost"
 	storeForget   fault = "store-forgets"
+	storeRestore  fault = "store-restored"
 	serverCrash   fault = "server-crash"
 	serverHang    fault = "server-hang"
 	serverFail    fault = "server-fails"
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -108,6 +108,16 @@
 	return s.store.Announce(s.info)
 }
 
+// announceAgain writes the entry of the backend server once more, unless it is down.
+func (s *serverSlot) announceAgain() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil
+	}
+	return s.store.Announce(s.info)
+}
+
 func (s *serverSlot) id() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
