Do not use backend servers that only a copy of the store brings back

What callers would see: after a restore, requests go to backend servers that drained or left before, and whose addresses may be in use again: failed tries, and requests past the drain time of a server whose leaving the entry had acknowledged.

The table of servers remembers for ten minutes which starts of servers drained or left. One that drained stays so until its next start. One that left is used again only once it has written its object again, and an entry of an earlier start does not replace the one that is known. Servers that the copy lacks are kept for two seconds, as after an outage.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,7 +22,8 @@
 
 var errRubbish = errors.New("rubbish")
 
-// testDecoder decodes a plan's version from the length of its value and takes a server's value as its state.
+// testDecoder decodes a plan's version from the length of its value and takes a server's value as its state and, after
+// an @, its start.
 var testDecoder = Decoder{
 	IsPlan: func(key string) bool { return key == "plans/main" },
 	Plan: func(value []byte) (*model.Plan, error) {
@@ -35,13 +37,22 @@
 			return model.BackendServer{}, errRubbish
 		}
 		id := strings.TrimPrefix(o.Key, "servers/")
-		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(o.Value)}, nil
+		state, start, _ := strings.Cut(string(o.Value), "@")
+		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(state), StartUnixMilli: parseStart(start)}, nil
 	},
 	Order: func(o storer.Object) (model.RolloutOrder, error) {
 		return model.RolloutOrder{Service: model.ServiceID(strings.TrimPrefix(o.Key, "orders/")), Version: model.VersionID(o.Value), Revision: o.Revision}, nil
 	},
 }
 
+func parseStart(s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func newTestFollower(store storer.Store, clock func() time.Duration) *Follower {
 	return New(Config{
 		Store: store, Kinds: Kinds{Plan: "plans", Servers: "servers", Orders: "orders", Shared: "marks"}, Decode: testDecoder,
@@ -55,6 +66,7 @@
 		Full     bool
 		Old      bool
 		Regained bool
+		Restored bool
 		After    time.Duration
 		Put      map[string]string
 		Remove   []string
@@ -77,7 +89,10 @@
 			now, revision := time.Unix(1000, 0), model.Revision(10)
 			for i, s := range c.Steps {
 				now = now.Add(s.After)
-				in := batch{full: s.Full, regained: s.Regained}
+				in := batch{full: s.Full, regained: s.Regained || s.Restored, restored: s.Restored}
+				if s.Restored {
+					revision = model.NewRevision(revision.Era()+1, 0)
+				}
 				for id, state := range s.Put {
 					revision++
 					o := storer.Object{Key: "servers/" + id, Revision: revision, Value: []byte(state)}
--- a/internal/follower/servers.go
+++ b/internal/follower/servers.go
@@ -12,6 +12,16 @@
 // again within about two seconds of the store's return.
 const removalGrace = 2 * time.Second
 
+// departureTTL is how long it is remembered that a backend server drained or left; copies of the store are much younger.
+const departureTTL = 10 * time.Minute
+
+// departure is the end of a backend server as the store told of it before it came back from a copy.
+type departure struct {
+	at time.Time
+	// drained means that the backend server announced that it leaves, which it does not take back.
+	drained bool
+}
+
 // serverRow is one backend server and the revision of its object. A zero removeAt means that the
 // object exists; otherwise the backend server is removed at that time unless the object returns.
 type serverRow struct {
@@ -24,6 +34,8 @@
 // serverTable holds the backend servers by the keys of their objects.
 type serverTable struct {
 	rows map[string]serverRow
+	// departed holds the backend servers that drained or left.
+	departed map[model.ServerLifetime]departure
 	// regained is when the store answered again after its last outage.
 	regained time.Time
 	// removeAt is the earliest removeAt of all rows, or zero if none is set.
@@ -32,7 +44,7 @@
 }
 
 func newServerTable() *serverTable {
-	return &serverTable{rows: map[string]serverRow{}, byService: map[model.ServiceID][]model.BackendServer{}}
+	return &serverTable{rows: map[string]serverRow{}, departed: map[model.ServerLifetime]departure{}, byService: map[model.ServiceID][]model.BackendServer{}}
 }
 
 // Servers returns the backend servers of a service; the slice must not be changed.
@@ -57,7 +69,7 @@
 func (f *Follower) removeOverdue(now time.Time) {
 	for key, r := range f.servers.rows {
 		if !r.removeAt.IsZero() && now.After(r.removeAt) {
-			delete(f.servers.rows, key)
+			f.servers.remove(key, now)
 			f.logServer("follower: backend server is gone, its object did not return after the store outage", r.server)
 		}
 	}
@@ -89,9 +101,10 @@
 		case o.Deleted:
 			f.removeServer(o.Key, now)
 		default:
-			f.putServer(o, known)
+			f.putServer(o, known, b.restored, now)
 		}
 	}
+	t.forgetDepartures(now)
 	t.rebuildIndex()
 }
 
@@ -108,23 +121,66 @@
 		f.logServer("follower: object of the backend server expired during a store outage, server kept for a while", r.server)
 		return
 	}
-	delete(f.servers.rows, key)
+	f.servers.remove(key, now)
 	f.logServer("follower: backend server is gone", r.server)
 }
 
-func (f *Follower) putServer(o storer.Object, known serverRow) {
+// remove removes a row and remembers that its backend server left.
+func (t *serverTable) remove(key string, now time.Time) {
+	if r := t.rows[key]; !r.unreadable {
+		t.depart(r.server, now)
+	}
+	delete(t.rows, key)
+}
+
+func (t *serverTable) depart(s model.BackendServer, now time.Time) {
+	drained := s.State == model.BackendDraining || t.departed[s.Lifetime()].drained
+	t.departed[s.Lifetime()] = departure{at: now, drained: drained}
+}
+
+func (t *serverTable) forgetDepartures(now time.Time) {
+	for s, d := range t.departed {
+		if now.Sub(d.at) > departureTTL {
+			delete(t.departed, s)
+		}
+	}
+}
+
+// stateAfter returns the state in which a backend server counts. One that drained stays so until its next start, also if
+// a copy of the store says otherwise. One that left is not used because a copy still has its object: it writes it again
+// if it lives.
+func (t *serverTable) stateAfter(s model.BackendServer, restored bool) model.BackendState {
+	d, departed := t.departed[s.Lifetime()]
+	if departed && (restored || d.drained && s.StartUnixMilli != 0) {
+		return model.BackendDraining
+	}
+	return s.State
+}
+
+func (f *Follower) putServer(o storer.Object, known serverRow, restored bool, now time.Time) {
+	t := f.servers
 	s, err := f.cfg.Decode.Server(o)
 	if err != nil {
 		if !known.unreadable {
 			f.cfg.Log.Warn().Err(err).Msg("follower: object of a backend server cannot be decoded and is ignored")
 		}
-		f.servers.rows[o.Key] = serverRow{revision: o.Revision, unreadable: true}
+		t.rows[o.Key] = serverRow{revision: o.Revision, unreadable: true}
+		return
+	}
+	if restored && s.StartUnixMilli < known.server.StartUnixMilli {
+		f.cfg.Log.Info().Str("backend", string(s.Backend)).Int64("born", s.StartUnixMilli).Int64("known", known.server.StartUnixMilli).
+			Msg("follower: copy of the store has an earlier start of the backend server, which is ignored")
+		f.removeServer(o.Key, now)
 		return
 	}
+	if s.State == model.BackendDraining {
+		t.depart(s, now)
+	}
+	s.State = t.stateAfter(s, restored)
 	if known.server.State != s.State || known.server.Address != s.Address || known.server.StartUnixMilli != s.StartUnixMilli {
 		f.logServer("follower: backend server is "+string(s.State), s)
 	}
-	f.servers.rows[o.Key] = serverRow{server: s, revision: o.Revision}
+	t.rows[o.Key] = serverRow{server: s, revision: o.Revision}
 }
 
 func (f *Follower) logServer(msg string, s model.BackendServer) {
