Let roll-outs go on after a restore of the store

What callers would see: after a restore, a roll-out starts again at its first stage, so that sessions move back to the old version; a version that was found bad gets requests again; a completed one loses all requests to servers that were stopped; an order that a newer one replaced is obeyed.

Cause: an order was told from another one by the revision of its creation, which the copy has in another era, and which is given out again. What was reported was taken to be in the store for good. The local copy of a shared object that the store has lost kept a revision with which it could not be written any more.

An order for the same version in a later era is the same roll-out: its stage, verdict and result stay, and what the store lacks is written again within two seconds, spread over the entries. Shared objects that a list lacks are forgotten.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -57,7 +58,7 @@
 	confirmedAt   time.Duration
 	everConfirmed bool
 	servers       *serverTable
-	orders        map[model.ServiceID]model.RolloutOrder
+	orders        *orderTable
 	sharedObjects map[string]storer.Object
 	listed        map[string]bool
 	// ready is closed once the plan and all lists have been read.
@@ -81,7 +82,7 @@
 	f := &Follower{
 		cfg:           cfg,
 		servers:       newServerTable(),
-		orders:        map[model.ServiceID]model.RolloutOrder{},
+		orders:        newOrderTable(),
 		sharedObjects: map[string]storer.Object{},
 		listed:        map[string]bool{},
 		ready:         make(chan struct{}),
@@ -234,50 +235,6 @@
 		Int("routes", len(p.Routes)).Int("keys", len(p.Keys)).Msg("follower: plan in force")
 }
 
-func (f *Follower) applyOrders(b batch, _ time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if b.full {
-		clear(f.orders)
-	}
-	for _, o := range b.objects {
-		order, err := f.cfg.Decode.Order(o)
-		if err != nil {
-			f.cfg.Log.Error().Err(err).Msg("follower: roll-out order cannot be decoded and is ignored")
-			continue
-		}
-		if o.Deleted {
-			delete(f.orders, order.Service)
-			continue
-		}
-		if known, ok := f.orders[order.Service]; ok && known.Revision >= order.Revision {
-			continue
-		}
-		f.orders[order.Service] = order
-		f.cfg.Log.Info().Str("service", string(order.Service)).Str("version", string(order.Version)).Dur("within", order.Duration).
-			Str("state", string(order.State)).Int64("revision", order.Revision.Change()).Uint32("era", uint32(order.Revision.Era())).Msg("follower: roll-out order changed")
-	}
-}
-
-// Order returns the roll-out order of a service.
-func (f *Follower) Order(s model.ServiceID) (model.RolloutOrder, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	o, ok := f.orders[s]
-	return o, ok
-}
-
-// Orders returns all roll-out orders.
-func (f *Follower) Orders() []model.RolloutOrder {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	out := make([]model.RolloutOrder, 0, len(f.orders))
-	for _, o := range f.orders {
-		out = append(out, o)
-	}
-	return out
-}
-
 // OnSharedObject registers fn, which is called with each shared object that appears or changes. OnSharedObject
 // must be called before Run.
 func (f *Follower) OnSharedObject(fn func(storer.Object)) {
@@ -285,6 +242,9 @@
 }
 
 func (f *Follower) applySharedObjects(b batch, _ time.Time) {
+	if b.full {
+		f.dropUnlistedShared(b.objects)
+	}
 	for _, o := range b.objects {
 		f.mu.Lock()
 		known, ok := f.sharedObjects[o.Key]
@@ -304,6 +264,17 @@
 	}
 }
 
+// dropUnlistedShared forgets the shared objects that a list of all lacks, so that they can be created again.
+func (f *Follower) dropUnlistedShared(listed []storer.Object) {
+	present := make(map[string]bool, len(listed))
+	for _, o := range listed {
+		present[o.Key] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.sharedObjects, func(key string, _ storer.Object) bool { return !present[key] })
+}
+
 // SharedObject returns the shared object with the key.
 func (f *Follower) SharedObject(key string) (storer.Object, bool) {
 	f.mu.RLock()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -41,7 +41,7 @@
 		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(state), StartUnixMilli: parseStart(start)}, nil
 	},
 	Order: func(o storer.Object) (model.RolloutOrder, error) {
-		return model.RolloutOrder{Service: model.ServiceID(strings.TrimPrefix(o.Key, "orders/")), Version: model.VersionID(o.Value), Revision: o.Revision}, nil
+		return model.RolloutOrder{Service: model.ServiceID(strings.TrimPrefix(o.Key, "orders/")), Version: model.VersionID(o.Value), Revision: o.Revision, Created: o.Created}, nil
 	},
 }
 
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 	"github.com/bramleyhinge/bramleyhinge/platform"
 	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
@@ -118,3 +123,76 @@
 	})
 	t.Cleanup(wg.Wait)
 }
+
+// TestReplacedOrderReturnsAfterRestore applies answers of the store on roll-out orders and checks the orders in force.
+func TestReplacedOrderReturnsAfterRestore(t *testing.T) {
+	type step struct {
+		Full, Restored bool
+		After          time.Duration
+		Put            map[string]string
+		Remove         []string
+		Want           map[model.ServiceID]model.VersionID
+	}
+	for _, c := range tester.Load[struct {
+		Name  string
+		Steps []step
+	}](t, "orders.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			f := newTestFollower(nil, nil)
+			now, revision := time.Unix(1000, 0), model.NewRevision(1, 100)
+			for i, s := range c.Steps {
+				now = now.Add(s.After)
+				if s.Restored {
+					revision = model.NewRevision(revision.Era()+1, 0)
+				}
+				in := batch{full: s.Full, restored: s.Restored}
+				for service, order := range s.Put {
+					version, created, _ := strings.Cut(order, "/")
+					change, err := strconv.ParseInt(created, 10, 64)
+					if err != nil {
+						t.Fatal(err)
+					}
+					revision++
+					in.objects = append(in.objects, storer.Object{
+						Key: "orders/" + service, Revision: revision, Created: model.NewRevision(revision.Era(), change), Value: []byte(version),
+					})
+				}
+				for _, service := range s.Remove {
+					revision++
+					in.objects = append(in.objects, storer.Object{Key: "orders/" + service, Revision: revision, Deleted: true})
+				}
+				f.applyOrders(in, now)
+				got := map[model.ServiceID]model.VersionID{}
+				for _, o := range f.Orders() {
+					got[o.Service] = o.Version
+				}
+				if diff := cmp.Diff(s.Want, got); diff != "" {
+					t.Errorf("orders after step %d (-want +got):\n%s", i, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestLostSharedObjectBlocksItsRewrite checks that a shared object which a restore lost can be created again with the
+// revision that the follower tells.
+func TestLostSharedObjectBlocksItsRewrite(t *testing.T) {
+	const key = "marks/shift.svc"
+	store := standin.NewStore()
+	if err := store.Publish(standin.Plan{Version: 1}); err != nil {
+		t.Fatal(err)
+	}
+	f := newPlatformFollower(t, store, zerolog.Nop())
+	published := time.Now()
+	runUntilEnd(t, f)
+	write := func() bool {
+		o, _ := f.SharedObject(key)
+		_, err := f.cfg.Store.Put(t.Context(), key, []byte(`{"stage":1}`), o.Revision)
+		return err == nil
+	}
+	await(t, "the first write", applyWithin, write)
+	await(t, "the object", applyWithin, func() bool { _, ok := f.SharedObject(key); return ok })
+	restore(store, published)
+	await(t, "the second write", applyWithin, write)
+	await(t, "the object of the new era", applyWithin, func() bool { o, ok := f.SharedObject(key); return ok && o.Revision.Era() == 2 })
+}
--- a/internal/shifter/plan.go
+++ b/internal/shifter/plan.go
@@ -222,3 +222,11 @@
 	at := hasher.ToUnitInterval(string(self) + string(rune('0'+n)))
 	return time.Duration(at * min(writeSpread*float64(duration), float64(maxWriteSpread)))
 }
+
+// restateSpread is the time over which the entries spread what they write again after a restore of the store. Those
+// that read of another's write in time need not write.
+const restateSpread = 2 * time.Second
+
+func restateDelay(self model.InstanceID) time.Duration {
+	return time.Duration(hasher.ToUnitInterval("restate\x00"+string(self)) * float64(restateSpread))
+}
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -72,8 +72,12 @@
 	previous model.VersionID
 	schedule schedule
 	stage    stage
-	// stageRevision is the revision of the stored stage that was read last.
+	// stageRevision is the revision of the stored stage that was read last, and storedStage that stage. It is behind
+	// the stage only if the store has lost it.
 	stageRevision model.Revision
+	storedStage   stage
+	// decided is the result that was reported for the order; a store that came back from a copy may lack it.
+	decided model.RolloutStatus
 	// stageSeen is when the stage was first seen, elapsed the time since the order at that moment.
 	stageSeen time.Time
 	elapsed   time.Duration
@@ -107,6 +111,12 @@
 // sameOrder reports whether a and b are the same order for the same version.
 func sameOrder(a, b model.RolloutOrder) bool { return a.Created == b.Created && a.Version == b.Version }
 
+// isRestored reports whether next is the known order as a store that came back from a copy has it, or as the operator
+// wrote it there again. Its revisions tell nothing about that, since they are given out again.
+func isRestored(known, next model.RolloutOrder) bool {
+	return known.Version == next.Version && next.Created.Era() > known.Created.Era()
+}
+
 // rollout returns the service's roll-out, updated from its order and its stored stage, or nil if there
 // is none; the lock is held.
 func (s *Shifter) rollout(service model.ServiceID, now time.Time) *rollout {
@@ -119,7 +129,11 @@
 		o.Duration = defaultDuration
 	}
 	r := s.rollouts[service]
-	if r == nil || !sameOrder(r.order, o) {
+	if r != nil && isRestored(r.order, o) {
+		r.stageRevision, r.storedStage, r.next = 0, 0, now.Add(restateDelay(s.cfg.Self))
+		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Int("stage", int(r.stage)).Bool("bad", r.bad).
+			Str("state", string(r.decided)).Msg("shifter: roll-out goes on after a restore of the store")
+	} else if r == nil || !sameOrder(r.order, o) {
 		r = &rollout{stageSeen: now, evaluator: newEvaluator(), schedule: newSchedule(o.Duration, s.cfg.Exposure)}
 		s.rollouts[service] = r
 		m, _, _ := s.storedStage(o)
@@ -127,11 +141,17 @@
 		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Str("base", string(r.previous)).Msg("shifter: roll-out begins")
 	}
 	r.order = o
+	if o.Reported == o.Version && (o.State == model.RolloutCompleted || o.State == model.RolloutReverted) {
+		r.decided = o.State
+	}
 	if stored, ok := s.cfg.PlatformState.SharedObject(s.stageKey(service)); !ok || stored.Revision == r.stageRevision {
 		return r
 	}
 	m, revision, ok := s.storedStage(o)
-	r.stageRevision = revision
+	r.stageRevision, r.storedStage = revision, 0
+	if ok {
+		r.storedStage = m.Stage
+	}
 	if ok && m.Stage > r.stage && m.Stage <= stageFull {
 		r.stage, r.elapsed, r.stageSeen = m.Stage, max(m.Elapsed, r.elapsedAt(now)), now
 		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Int("stage", int(r.stage)).
@@ -140,6 +160,15 @@
 	return r
 }
 
+// decidedOrder returns the order with its result, also if the store has lost it.
+func (r *rollout) decidedOrder() model.RolloutOrder {
+	o := r.order
+	if r.decided != "" {
+		o.State, o.Reported = r.decided, o.Version
+	}
+	return o
+}
+
 // elapsedAt returns the time since the order.
 func (r *rollout) elapsedAt(now time.Time) time.Duration { return r.elapsed + now.Sub(r.stageSeen) }
 
@@ -170,7 +199,7 @@
 	if r == nil {
 		return chooseWithoutOrder(req.Servers, first, now)
 	}
-	return chooseVersions(chooseInput{order: r.order, previous: r.previous, schedule: r.schedule, stage: r.stage, bad: r.bad, req: req})
+	return chooseVersions(chooseInput{order: r.decidedOrder(), previous: r.previous, schedule: r.schedule, stage: r.stage, bad: r.bad, req: req})
 }
 
 // noteFirstSeen records when versions are first seen. Versions that are present at the first request for
@@ -210,7 +239,7 @@
 // lock is held.
 func (s *Shifter) addEvidence(r *rollout, e evidence, now time.Time) {
 	v := r.evaluator.observe(e)
-	if !v.Bad || r.bad || r.order.Reported == r.order.Version && r.order.State == model.RolloutCompleted {
+	if !v.Bad || r.bad || r.decided == model.RolloutCompleted {
 		return
 	}
 	r.bad, r.reason, r.next = true, v.Reason, now
@@ -288,6 +317,8 @@
 	actionStage    action = "stage"
 	actionComplete action = "complete"
 	actionRevert   action = "revert"
+	// actionRestate writes a stage again that the store has lost.
+	actionRestate action = "restate"
 )
 
 // dueAction returns what the entry must write for a roll-out at a time.
@@ -296,8 +327,13 @@
 	if done && (r.order.State == model.RolloutCompleted || r.order.State == model.RolloutReverted) || r.busy || now.Before(r.next) {
 		return actionNone
 	}
-	if r.bad {
+	switch {
+	case r.decided == model.RolloutCompleted:
+		return actionComplete
+	case r.bad || r.decided == model.RolloutReverted:
 		return actionRevert
+	case r.stage > r.storedStage:
+		return actionRestate
 	}
 	wait := writeDelay(self, r.stage, r.order.Duration)
 	switch {
@@ -340,7 +376,10 @@
 	r.busy, r.next = true, now.Add(writeRetryPause)
 	order, reason, verdict := r.order, r.reason, r.evaluator.verdict()
 	requests, streams := r.evaluator.guard.Seen(), r.evaluator.pace.Seen()
-	next := storedStage{Order: order.Created, Version: order.Version, Stage: r.stage + 1, Elapsed: r.elapsedAt(now)}
+	next, current := storedStage{Order: order.Created, Version: order.Version, Stage: r.stage + 1, Elapsed: r.elapsedAt(now)}, r.stage
+	if d == actionRestate {
+		next.Stage = current
+	}
 	s.mu.Unlock()
 	go func() {
 		err := s.write(ctx, d, order, next)
@@ -351,14 +390,14 @@
 		if err != nil {
 			log = s.cfg.Log.Warn().Err(err)
 		}
-		log.Str("service", string(service)).Str("version", string(order.Version)).Str("deed", string(d)).Int("stage", int(next.Stage-1)).
+		log.Str("service", string(service)).Str("version", string(order.Version)).Str("deed", string(d)).Int("stage", int(current)).
 			Int64("revision", order.Revision.Change()).Uint32("era", uint32(order.Revision.Era())).Str("reason", reason).Float64("level", verdict.Level).Str("why", verdict.Reason).
 			Int("seen", requests).Int("streams", streams).Msg("shifter: roll-out write finished")
 	}()
 }
 
 func (s *Shifter) write(ctx context.Context, d action, o model.RolloutOrder, next storedStage) error {
-	if d == actionStage {
+	if d == actionStage || d == actionRestate {
 		_, expect, _ := s.storedStage(o)
 		b, err := json.Marshal(next)
 		if err != nil {
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -216,7 +216,7 @@
 	start := time.Unix(1000, 0)
 	for _, c := range tester.Load[actionCase](t, "actions.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
-			r := &rollout{order: testOrder(c.State, ""), schedule: newSchedule(24*time.Second, 0.15), stage: c.Stage, stageSeen: start, elapsed: c.Elapsed, bad: c.Bad, busy: c.Busy, evaluator: newEvaluator()}
+			r := &rollout{order: testOrder(c.State, ""), schedule: newSchedule(24*time.Second, 0.15), stage: c.Stage, storedStage: c.Stage, stageSeen: start, elapsed: c.Elapsed, bad: c.Bad, busy: c.Busy, evaluator: newEvaluator()}
 			observeStreams(r.evaluator, 400, 0, true)
 			observeStreams(r.evaluator, c.Streams, c.Slow, false)
 			if diff := cmp.Diff(c.Want, dueAction(r, "entry-1", start.Add(c.Since))); diff != "" {
