Write again what entries published and a restore of the store has lost

What callers would see: an entry that starts after a restore does not learn of those whose addresses the store has lost, so that they share no loads, no limits and no evidence; requests that crash backend servers are let in again by it, since evidence of earlier crashes is gone.

Cause: addresses are written once and evidence when it changes; what was acknowledged was taken to be there for good.

The follower tells its entry when the shared objects of a new era are known. Entries look there, without a call, for what they wrote, and write what is missing, spread over three seconds. TestLostAddressesAreNotWrittenAgain replays it with 300 entries, TestLostEvidenceIsNotPublishedAgain for evidence; there was nothing to test before.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -109,6 +109,10 @@
 		},
 	})
 	platformState.OnSharedObject(func(o storer.Object) { gossip.UpdateMember(o, time.Now()) })
+	platformState.OnRestored(func() {
+		gossip.RestateLost(platformState.SharedObject)
+		quarantine.RestateLost(platformState.SharedObject, time.Now())
+	})
 	f = forwarder.New(forwarder.Config{
 		Settings: s, Names: platform.Names(), PlatformState: platformState,
 		Versions:   rollouts,
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,6 +64,7 @@
 	// ready is closed once the plan and all lists have been read.
 	ready          chan struct{}
 	onSharedObject []func(storer.Object)
+	onRestored     []func()
 	// Cancelling watchCtx ends all watches; it is replaced when the store is lost or its history is gone.
 	watchCtx       context.Context
 	cancelWatchCtx context.CancelCauseFunc
@@ -241,6 +242,10 @@
 	f.onSharedObject = append(f.onSharedObject, fn)
 }
 
+// OnRestored registers fn, which is called once the shared objects of a store that came back from a copy are known, so
+// that what the store has lost can be written again. OnRestored must be called before Run.
+func (f *Follower) OnRestored(fn func()) { f.onRestored = append(f.onRestored, fn) }
+
 func (f *Follower) applySharedObjects(b batch, _ time.Time) {
 	if b.full {
 		f.dropUnlistedShared(b.objects)
@@ -262,6 +267,12 @@
 			fn(o)
 		}
 	}
+	if !b.restored {
+		return
+	}
+	for _, fn := range f.onRestored {
+		fn()
+	}
 }
 
 // dropUnlistedShared forgets the shared objects that a list of all lacks, so that they can be created again.
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -184,6 +185,11 @@
 	}
 	f := newPlatformFollower(t, store, zerolog.Nop())
 	published := time.Now()
+	var restored atomic.Bool
+	f.OnRestored(func() {
+		_, known := f.SharedObject(key)
+		restored.Store(!known)
+	})
 	runUntilEnd(t, f)
 	write := func() bool {
 		o, _ := f.SharedObject(key)
@@ -193,6 +199,7 @@
 	await(t, "the first write", applyWithin, write)
 	await(t, "the object", applyWithin, func() bool { _, ok := f.SharedObject(key); return ok })
 	restore(store, published)
+	await(t, "the news that the object is lost", applyWithin, restored.Load)
 	await(t, "the second write", applyWithin, write)
 	await(t, "the object of the new era", applyWithin, func() bool { o, ok := f.SharedObject(key); return ok && o.Revision.Era() == 2 })
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -18,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -35,6 +37,8 @@
 	silentAfter = 10 * time.Second
 	// publishRetryPause is the pause between attempts to write the own address to the store.
 	publishRetryPause = time.Second
+	// restateSpread is the time over which the entries spread the writes of addresses that the store has lost.
+	restateSpread = 3 * time.Second
 	// maxMessageBytes is the size of the largest message; it fits into one packet of usual size.
 	maxMessageBytes = 1400
 )
@@ -86,6 +90,8 @@
 	byAddr  map[netip.AddrPort]*member
 	// lastSentEmpty reports whether the last work message held no open work; only Run uses it.
 	lastSentEmpty bool
+	// lost wakes publishAddress when the store has lost the own address.
+	lost chan struct{}
 }
 
 // member is another entry.
@@ -108,7 +114,7 @@
 
 // New returns a Gossiper that knows no other entry.
 func New(cfg Config) *Gossiper {
-	return &Gossiper{cfg: cfg, members: map[model.InstanceID]*member{}, byAddr: map[netip.AddrPort]*member{}}
+	return &Gossiper{cfg: cfg, members: map[model.InstanceID]*member{}, byAddr: map[netip.AddrPort]*member{}, lost: make(chan struct{}, 1)}
 }
 
 const addressPrefix = "entry."
@@ -199,28 +205,47 @@
 	wg.Wait()
 }
 
-// publishAddress writes the own address to the store and retries until that succeeds. The address
+// publishAddress writes the own address to the store, and again when the store has lost it. The address
 // is never removed: an entry that starts again has the same one, and the others send less often to
 // an entry that is gone.
 func (g *Gossiper) publishAddress(ctx context.Context) {
-	b, err := json.Marshal(storedAddress{Address: g.cfg.Address, Region: g.cfg.Place.Region, Domain: g.cfg.Place.Domain})
+	b, err := json.Marshal(g.ownAddress())
 	if err != nil {
 		g.cfg.Log.Error().Err(err).Msg("gossiper: own address cannot be encoded")
 		return
 	}
-	for {
-		if err = g.writeAddress(ctx, b); err == nil || ctx.Err() != nil {
-			return
+	for ctx.Err() == nil {
+		if err = g.writeAddress(ctx, b); err != nil {
+			g.cfg.Log.Warn().Err(err).Msg("gossiper: own address could not be written to the store")
+			pauser.Pause(ctx, publishRetryPause)
+			continue
 		}
-		g.cfg.Log.Warn().Err(err).Msg("gossiper: own address could not be written to the store")
 		select {
 		case <-ctx.Done():
-			return
-		case <-time.After(publishRetryPause):
+		case <-g.lost:
+			pauser.Pause(ctx, rand.N(restateSpread))
 		}
 	}
 }
 
+func (g *Gossiper) ownAddress() storedAddress {
+	return storedAddress{Address: g.cfg.Address, Region: g.cfg.Place.Region, Domain: g.cfg.Place.Domain}
+}
+
+// RestateLost writes the own address again if the store lacks it. The function stored looks up what the store holds
+// after it came back from a copy.
+func (g *Gossiper) RestateLost(stored func(key string) (storer.Object, bool)) {
+	var m storedAddress
+	if o, ok := stored(g.addressKey()); ok && json.Unmarshal(o.Value, &m) == nil && m == g.ownAddress() {
+		return
+	}
+	g.cfg.Log.Info().Str("key", g.addressKey()).Msg("gossiper: the store has lost the own address, writing it again")
+	select {
+	case g.lost <- struct{}{}:
+	default:
+	}
+}
+
 func (g *Gossiper) writeAddress(ctx context.Context, b []byte) error {
 	o, err := g.cfg.Store.Get(ctx, g.addressKey())
 	switch {
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -1,8 +1,10 @@
 package gossiper
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,6 +108,90 @@
 	}
 }
 
+// timedStore holds addresses and when each was written.
+type timedStore struct {
+	mu      sync.Mutex
+	objects map[string]storer.Object
+	writes  []time.Time
+}
+
+func (s *timedStore) lookUp(key string) (storer.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	return o, ok
+}
+
+func (s *timedStore) Get(_ context.Context, key string) (storer.Object, error) {
+	o, ok := s.lookUp(key)
+	if !ok {
+		return storer.Object{}, &storer.Error{Kind: storer.KindNotFound, Key: key}
+	}
+	return o, nil
+}
+
+func (s *timedStore) Put(_ context.Context, key string, value []byte, _ model.Revision) (model.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes = append(s.writes, time.Now())
+	s.objects[key] = storer.Object{Key: key, Value: value}
+	return 1, nil
+}
+
+func (s *timedStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
+}
+
+// TestLostAddressesAreNotWrittenAgain checks that entries write their addresses again when a restore of the store has
+// lost them, that they do not all do so at once, and that they write none that the store has.
+func TestLostAddressesAreNotWrittenAgain(t *testing.T) {
+	const entries, kept = 300, 20
+	// A tenth of a second may bring a tenth of all writes.
+	const window, most = 100 * time.Millisecond, entries / 10
+	store := &timedStore{objects: map[string]storer.Object{}}
+	var all []*Gossiper
+	for i := range entries {
+		g := New(Config{Self: model.InstanceID(fmt.Sprint("e", i)), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Store: store, SharedKind: "marks", Log: zerolog.Nop()})
+		all = append(all, g)
+		go g.publishAddress(t.Context())
+	}
+	awaitCount := func(within time.Duration) {
+		t.Helper()
+		for end := time.Now().Add(within); store.count() < entries; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the store has %d of %d addresses after %v", store.count(), entries, within)
+			}
+		}
+	}
+	awaitCount(2 * time.Second)
+	store.mu.Lock()
+	for _, g := range all[kept:] {
+		delete(store.objects, g.addressKey())
+	}
+	store.writes = nil
+	store.mu.Unlock()
+	for _, g := range all {
+		g.RestateLost(store.lookUp)
+	}
+	awaitCount(restateSpread + time.Second)
+	if diff := cmp.Diff(entries-kept, len(store.writes)); diff != "" {
+		t.Errorf("writes (-want +got):\n%s", diff)
+	}
+	for _, from := range store.writes {
+		n := 0
+		for _, at := range store.writes {
+			if !at.Before(from) && at.Before(from.Add(window)) {
+				n++
+			}
+		}
+		if n > most {
+			t.Fatalf("%d addresses were written within %v, want at most %d", n, window, most)
+		}
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Backlog: time.Second}, "b": {}}))
 	f.Add([]byte{messageWork, 1, 2, 3})
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/pauser"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -21,6 +23,8 @@
 	// writeTimeout bounds one attempt to publish, writeRetryPause is the pause before the next one.
 	writeTimeout    = 2 * time.Second
 	writeRetryPause = time.Second
+	// restateSpread is the time over which the entries spread the writes of evidence that the store has lost.
+	restateSpread = 3 * time.Second
 )
 
 // message is what an entry tells the others: crashes that it saw, and traits that its answers cleared.
@@ -160,6 +164,8 @@
 		case <-ctx.Done():
 			return
 		case <-q.changed:
+		case <-q.lost:
+			pauser.Pause(ctx, rand.N(restateSpread))
 		}
 		for {
 			err := q.publish(ctx, time.Now())
@@ -175,6 +181,25 @@
 	}
 }
 
+// RestateLost publishes this entry's evidence again if the store lacks any of it. The function stored looks up what the
+// store holds after it came back from a copy.
+func (q *Quarantiner) RestateLost(stored func(key string) (storer.Object, bool), now time.Time) {
+	own := q.published(now)
+	o, ok := stored(q.evidenceKey())
+	if !ok && len(own.Crashes)+len(own.Proven) == 0 {
+		return
+	}
+	var m storedEvidence
+	if ok && json.Unmarshal(o.Value, &m) == nil && len(m.Crashes) >= len(own.Crashes) && len(m.Proven) >= len(own.Proven) {
+		return
+	}
+	q.cfg.Log.Info().Str("key", q.evidenceKey()).Int("crashes", len(own.Crashes)).Msg("quarantiner: the store has lost evidence, publishing it again")
+	select {
+	case q.lost <- struct{}{}:
+	default:
+	}
+}
+
 func (q *Quarantiner) publish(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -77,13 +77,15 @@
 	unsent []message
 	// changed wakes Run after a change of what is published.
 	changed chan struct{}
+	// lost wakes Run when the store has lost what was published.
+	lost chan struct{}
 }
 
 // New returns a Quarantiner without evidence.
 func New(cfg Config) *Quarantiner {
 	return &Quarantiner{
 		cfg: cfg, evidence: newEvidence(), bans: map[model.TraitID]time.Time{},
-		own: map[model.ServerLifetime]*crashMessage{}, told: map[model.TraitID]time.Time{}, changed: make(chan struct{}, 1),
+		own: map[model.ServerLifetime]*crashMessage{}, told: map[model.TraitID]time.Time{}, changed: make(chan struct{}, 1), lost: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -230,3 +231,49 @@
 		t.Errorf("%d own crashes are kept, want at most %d", n, maxCrashes)
 	}
 }
+
+// TestLostEvidenceIsNotPublishedAgain checks that an entry publishes its evidence again when a restore of the store has
+// lost it, and writes nothing that the store has.
+func TestLostEvidenceIsNotPublishedAgain(t *testing.T) {
+	platform := standin.NewPlatform()
+	q := newQuarantiner(0, platform)
+	lookUp := func(key string) (storer.Object, bool) {
+		o, err := platform.Get(t.Context(), key)
+		return o, err == nil
+	}
+	q.RestateLost(lookUp, time.Now())
+	q.RecordCrash(model.ServerLifetime{Backend: "b1"}, traits([]string{"bad"}), time.Now())
+	if err := q.publish(t.Context(), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	q.RestateLost(lookUp, time.Now())
+	if len(q.lost) != 0 {
+		t.Error("evidence that the store has is to be published again")
+	}
+	older, _ := lookUp(q.evidenceKey())
+	q.RecordCrash(model.ServerLifetime{Backend: "b2"}, traits([]string{"bad"}), time.Now())
+	go q.Run(t.Context())
+	published := func() int {
+		o, _ := lookUp(q.evidenceKey())
+		var m storedEvidence
+		if err := json.Unmarshal(o.Value, &m); err != nil {
+			return 0
+		}
+		return len(m.Crashes)
+	}
+	await := func(within time.Duration) {
+		t.Helper()
+		for end := time.Now().Add(within); published() < 2; time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d of 2 crashes are published", published())
+			}
+		}
+	}
+	await(time.Second)
+	newer, _ := lookUp(q.evidenceKey())
+	if _, err := platform.Put(t.Context(), q.evidenceKey(), older.Value, newer.Revision); err != nil {
+		t.Fatal(err)
+	}
+	q.RestateLost(lookUp, time.Now())
+	await(restateSpread + time.Second)
+}
