Ask other entries for their plans before keys of a restored store count

What callers would see: an entry that starts between a restore and the operator's next write reads an old plan from the copy, and runs requests whose keys were withdrawn long ago; so does one that was cut off or frozen when the newest plan was confirmed.

Cause: the plan's version is the floor across eras, but a process that has not seen the newer plan has no floor of its own.

Relays tell their version with each answer, and confirm no entry whose plan is older. A poll at once does not count as following, which would shorten the watches of relays (TestSmallRegion).

TestWithdrawnKeyReturnsAtStartAfterRestore failed before where any other entry answers, and passes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -55,6 +55,7 @@
 	// it came back from a copy.
 	planRev       model.Revision
 	storeBehind   bool
+	floor         floor
 	confirmedAt   time.Duration
 	everConfirmed bool
 	servers       *serverTable
@@ -88,6 +89,7 @@
 		listed:        map[string]bool{},
 		ready:         make(chan struct{}),
 		feed:          relayer.NewFeed(),
+		floor:         floor{newEra: make(chan struct{}, 1)},
 	}
 	if cfg.Relays != nil {
 		f.relayed.relayWait = cfg.Relays.Timing.Wait
@@ -106,6 +108,7 @@
 	}
 	if f.cfg.Relays != nil {
 		wg.Go(func() { f.followRelays(ctx) })
+		wg.Go(func() { f.askFloors(ctx) })
 	}
 	wg.Wait()
 }
@@ -165,6 +168,9 @@
 	if !f.everConfirmed {
 		return false, 0
 	}
+	if f.isBelowFloor() {
+		return false, age
+	}
 	return f.cfg.MaxKeyAge == 0 || age < f.cfg.MaxKeyAge-keyAgeMargin, age
 }
 
@@ -181,7 +187,7 @@
 // closeReadyIfComplete closes ready if the plan and all lists have been read; the caller holds the lock.
 func (f *Follower) closeReadyIfComplete() {
 	k := f.cfg.Kinds
-	if f.plan == nil || !f.listed[k.Servers] || !f.listed[k.Orders] || !f.listed[k.Shared] {
+	if f.plan == nil || f.floor.asking || !f.listed[k.Servers] || !f.listed[k.Orders] || !f.listed[k.Shared] {
 		return
 	}
 	select {
@@ -231,6 +237,7 @@
 		return
 	}
 	f.plan, f.planRev = p, at
+	f.feed.SetVersion(p.Version)
 	f.closeReadyIfComplete()
 	f.cfg.Log.Info().Int64("version", p.Version).Int64("revision", at.Change()).Uint32("era", uint32(at.Era())).
 		Int("routes", len(p.Routes)).Int("keys", len(p.Keys)).Msg("follower: plan in force")
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -309,7 +309,8 @@
 	}
 	asOf := reply.AsOf(p.sent)
 	f.relayed.succeed(p, asOf, sinceBoot, f.cfg.Relays.Timing.MaxAge)
-	behind := !f.confirmRelayed(reply.Plan, asOf)
+	f.raiseFloor(reply.Version)
+	behind := !f.confirmRelayed(reply, asOf)
 	if f.relayed.isBehind(behind, sinceBoot) {
 		f.cfg.Log.Info().Str("relay", string(p.relay)).Int64("revision", reply.Plan.Change()).
 			Uint32("era", uint32(reply.Plan.Era())).Msg("follower: a relay knows a newer plan, reading it")
@@ -317,11 +318,11 @@
 	}
 }
 
-// confirmRelayed records that a revision of the plan was the newest as of a time since boot. It reports whether the
-// plan in force is not older.
-func (f *Follower) confirmRelayed(plan model.Revision, at time.Duration) bool {
+// confirmRelayed records that a relay's plan was the newest as of a time since boot. It reports whether the plan in
+// force is not older, neither in the store's order nor by its version.
+func (f *Follower) confirmRelayed(reply relayer.PollReply, at time.Duration) bool {
 	f.mu.RLock()
-	current := f.planRev >= plan
+	current := f.planRev >= reply.Plan && f.plan != nil && f.plan.Version >= reply.Version
 	f.mu.RUnlock()
 	if current {
 		// The plan in force only gets newer.
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"context"
+	"fmt"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -13,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/relayer"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -203,3 +206,78 @@
 	await(t, "the second write", applyWithin, write)
 	await(t, "the object of the new era", applyWithin, func() bool { o, ok := f.SharedObject(key); return ok && o.Revision.Era() == 2 })
 }
+
+// TestWithdrawnKeyReturnsAtStartAfterRestore checks that an entry which starts while a restored store still holds an
+// older plan, with keys that were withdrawn since, does not accept keys until the store has caught up with what the
+// other entries have in force, also if it reaches only some of them.
+func TestWithdrawnKeyReturnsAtStartAfterRestore(t *testing.T) {
+	type step struct {
+		Name string
+		// Silent entries do not answer.
+		Entries, Silent int
+		Fresh           bool
+	}
+	for _, c := range tester.Load[step](t, "starts.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			if err := store.Publish(standin.Plan{Version: 1}); err != nil {
+				t.Fatal(err)
+			}
+			published := time.Now()
+			var all []*Follower
+			var members []model.Instance
+			for i := range c.Entries + 1 {
+				members = append(members, model.Instance{
+					Instance: model.InstanceID(fmt.Sprint("e", i)), Control: fmt.Sprint(i), Place: model.Place{Region: "lake", Domain: "a"},
+				})
+			}
+			add := func() *Follower {
+				f := newPlatformFollower(t, store, zerolog.Nop())
+				f.cfg.Relays = &Relays{
+					Timing: relayer.NewTiming(0), Self: members[len(all)], Members: func() []model.Instance { return members[:c.Entries] },
+					Poll: func(ctx context.Context, address string, in relayer.PollRequest) (relayer.PollReply, error) {
+						to, err := strconv.Atoi(address)
+						if err != nil {
+							t.Error(err)
+						}
+						if to < c.Silent {
+							<-ctx.Done()
+							return relayer.PollReply{}, ctx.Err()
+						}
+						return all[to].Feed().Answer(ctx, in, all[to].cfg.Clock), nil
+					},
+				}
+				return f
+			}
+			for range c.Entries {
+				f := add()
+				all = append(all, f)
+				runUntilEnd(t, f)
+			}
+			if err := store.Publish(standin.Plan{Version: 4}); err != nil {
+				t.Fatal(err)
+			}
+			for _, f := range all {
+				await(t, "version 4", applyWithin, func() bool { p := f.Plan(); return p != nil && p.Version == 4 })
+			}
+			restore(store, published)
+			late := add()
+			runUntilEnd(t, late)
+			fresh := func() bool {
+				ok, _ := late.KeysFresh(late.cfg.Clock())
+				return ok
+			}
+			ended := time.Now().Add(time.Second)
+			for ; time.Now().Before(ended) && !fresh(); time.Sleep(time.Millisecond) {
+			}
+			if diff := cmp.Diff(c.Fresh, fresh()); diff != "" {
+				t.Errorf("keys count as fresh (-want +got):\n%s", diff)
+			}
+			if err := store.Publish(standin.Plan{Version: 4}); err != nil {
+				t.Fatal(err)
+			}
+			await(t, "fresh keys of version 4", applyWithin, func() bool { return fresh() && late.Plan().Version == 4 && isReady(late) })
+		})
+	}
+}
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -156,6 +156,9 @@
 		// A relay was faster.
 		return
 	}
+	if s.confirm != nil {
+		f.noteEra(revision.Era())
+	}
 	s.apply(b, now)
 	if s.confirm == nil {
 		f.feed.Apply(s.kind, relayer.Update{Revision: revision, Full: b.full, Objects: b.objects}, f.cfg.Clock())
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	if fresh, age := f.cfg.PlatformState.KeysFresh(f.cfg.Clock()); !fresh {
-		return model.Refuse(model.KindStaleConfiguration, "keys were last confirmed %v ago: try another entry", age.Round(time.Millisecond)).WithRetry(staleRetryAfter(rand.Float64()))
+		return model.Refuse(model.KindStaleConfiguration, "keys were last confirmed %v ago, or another entry has a newer plan: try another entry", age.Round(time.Millisecond)).WithRetry(staleRetryAfter(rand.Float64()))
 	}
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	holder, ok := c.plan.Keys[model.HashKey(strings.TrimSpace(key))]
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -24,6 +24,8 @@
 	plan          model.Revision
 	confirmedAt   time.Duration
 	everConfirmed bool
+	// version is the version of the plan in force.
+	version int64
 	// regainedAt is when the store answered again after its last outage.
 	regainedAt time.Duration
 	regained   bool
@@ -135,6 +137,13 @@
 	f.wake()
 }
 
+// SetVersion records the version of the plan in force.
+func (f *Feed) SetVersion(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = version
+}
+
 // IsFollowed reports whether another entry polled this one lately; now is a time since boot.
 func (f *Feed) IsFollowed(now time.Duration) bool {
 	f.mu.Lock()
--- a/internal/relayer/poll.go
+++ b/internal/relayer/poll.go
@@ -28,6 +28,8 @@
 // PollRequest asks a relay for the changes after the revisions that are known of each kind.
 type PollRequest struct {
 	Known map[string]model.Revision `json:"known"`
+	// AtOnce asks for an answer without waiting for changes. Who asks so does not follow the relay.
+	AtOnce bool `json:"at_once,omitempty"`
 }
 
 // PollReply holds the changes and how old the relay's knowledge is. Only durations cross between machines.
@@ -38,7 +40,9 @@
 	// ago it was the newest.
 	Confirmed bool           `json:"confirmed"`
 	Plan      model.Revision `json:"plan"`
-	Age       time.Duration  `json:"age"`
+	// Version is the version of the plan that the relay has in force, whether or not the store confirms it.
+	Version int64         `json:"version,omitempty"`
+	Age     time.Duration `json:"age"`
 	// Held is how long the relay held the poll before it computed Age.
 	Held time.Duration `json:"held"`
 	// Regained is how long ago the store returned from its last outage, if the relay saw one.
@@ -56,16 +60,19 @@
 	arrived := clock()
 	timer := time.NewTimer(pollWait)
 	defer timer.Stop()
-	first, waiting := time.Duration(0), true
+	first, waiting := time.Duration(0), !in.AtOnce
 	for round := 0; ; round++ {
 		f.mu.Lock()
-		f.polledAt, f.polled = arrived, true
+		if !in.AtOnce {
+			f.polledAt, f.polled = arrived, true
+		}
 		reply := f.reply(in)
 		if round == 0 {
 			first = f.confirmedAt
 		}
 		if len(reply.Kinds) > 0 || f.confirmedAt > first || !waiting {
 			now := clock()
+			reply.Version = f.version
 			reply.Confirmed, reply.Plan, reply.Age, reply.Held = f.everConfirmed, f.plan, now-f.confirmedAt, now-arrived
 			if f.regained {
 				ago := now - f.regainedAt
