--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -148,10 +148,23 @@
 			return &failure{kind: failureBroken, cause: errNoRequestID}
 		}
 		f.observeLimit(rep, time.Now())
+		f.logAnnouncements(rep)
 		return f.checkHead(rep)
 	}
 }
 
+// logAnnouncements logs that a backend server leaves or asks for rest.
+func (f *Forwarder) logAnnouncements(rep *reply) {
+	leaving := rep.Header.Get(f.cfg.Names.Leaving) != ""
+	rest := parseRetryAfter(rep.Header)
+	if rep.StatusCode != http.StatusServiceUnavailable {
+		rest = 0
+	}
+	if leaving || rest > 0 {
+		f.cfg.Log.Info().Str("backend", string(rep.peer.server.Backend)).Bool("leaves", leaving).Dur("rest", rest).Msg("forwarder: a backend server leaves or asks for rest")
+	}
+}
+
 // observeLimit records the limit that a backend server names in its answer, or that it names none. Only the answer
 // to a request that ran lifts a limit.
 func (f *Forwarder) observeLimit(rep *reply, now time.Time) {
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -22,7 +22,7 @@
 
 var testNames = Names{
 	Request: "Id", TimeLeft: "Time-Left", Prefix: "Prefix", Session: "Session", LastEventID: "Last-Event", Seal: "Seal", Organisation: "Holder",
-	ExpectedBackend: "Meant", Load: "Load", Limit: "Limit", NotRun: "Not-Run", Model: "Model", Usage: "Usage", LengthHint: "Length", Priority: "Rank",
+	ExpectedBackend: "Meant", Load: "Load", Limit: "Limit", Leaving: "Leaving", NotRun: "Not-Run", Model: "Model", Usage: "Usage", LengthHint: "Length", Priority: "Rank",
 	Confidence: "Confidence", Scheme: "Key", ReadyPath: "/ready", MetricsPath: "/metrics",
 	Reserved: []string{"Holder", "Meant", "Rank", "Kv-From"},
 }
--- a/internal/forwarder/names.go
+++ b/internal/forwarder/names.go
@@ -22,6 +22,8 @@
 	Load string
 	// Limit carries the requests a second that a backend server in need takes from all entries together.
 	Limit string
+	// Leaving marks the answers of a backend server that leaves.
+	Leaving string
 	// NotRun marks an answer whose request did not run and will not run.
 	NotRun string
 	// Model carries the model that must answer.
