Reproduce requests at backend servers that leave or asked for rest

The stand-in for backend servers says in its answers that it leaves, or asks for rest when it turns requests away; the soak plays both, beside an outage and a restore of the store, a kill and a freeze, and checks what arrives: no request that was sent later than the drain time after an entry had passed on that a server leaves, and at most two between half a second after a server asked an entry for rest and the end of that time. The forwarder's tests play single answers: dropped, late, refused, streamed, from another server at the address, and rests that are huge, negative or unreadable.

--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -177,6 +177,28 @@
 	case "limitelsewhere":
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nLimit: %s\r\nContent-Length: 0\r\n\r\n", rest)
 		return true
+	case "leaving":
+		fmt.Fprint(c, answer(req, "Leaving: 1\r\n", "answer"))
+		return true
+	case "leavingbusy":
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	case "leavingelsewhere":
+		fmt.Fprint(c, "HTTP/1.1 421 Misdirected Request\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case "leavingdoubt":
+		fmt.Fprint(c, strings.Replace(answer(req, "Leaving: 1\r\n", "id: 1\ndata: 1\n\n"), "Seal: s", "Seal: s\r\nConfidence: 10", 1))
+		return true
+	case "leavingforeign":
+		fmt.Fprint(c, strings.Replace(answer(req, "Leaving: 1\r\n", "other"), "Id: "+id, "Id: other", 1), answer(req, "", "answer"))
+		return true
+	case "leavingevents":
+		fmt.Fprint(c, answer(req, "Leaving: 1\r\n", "id: 1\ndata: 1\n\n"))
+		return true
+	case "rest":
+		// The answer asks for the seconds of rest after the word.
+		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", id, rest)
+		return true
 	case "foreign":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "other"), "Id: "+id, "Id: other", 1), answer(req, "", "answer"))
 		return true
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -38,10 +38,11 @@
 	HeadAt        time.Time
 	Status        int
 	Seal, OtherID string
-	// Limit is the limit that the backend server names in the response.
-	Limit  string
-	Answer string
-	Events int
+	// Limit is the limit that the backend server names in the response, Leaving whether it says that it leaves.
+	Limit   string
+	Leaving bool
+	Answer  string
+	Events  int
 	// Complete reports that the caller received the whole response; EventError describes the first
 	// unexpected event of a stream.
 	Complete   bool
@@ -203,6 +204,7 @@
 	}
 	defer resp.Body.Close()
 	rec.HeadAt, rec.Status, rec.Seal, rec.Limit = time.Now(), resp.StatusCode, resp.Header.Get(names.Seal), resp.Header.Get(names.Limit)
+	rec.Leaving = resp.Header.Get(names.Leaving) != ""
 	if id := resp.Header.Get(names.Request); id != rec.ID {
 		rec.OtherID = id
 	}
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -95,6 +95,8 @@
 	out = append(out, checkRecovery(h)...)
 	out = append(out, checkPromptCrashes(h)...)
 	out = append(out, checkLimits(h)...)
+	out = append(out, checkLeaving(h)...)
+	out = append(out, checkRests(h)...)
 	slices.SortFunc(out, func(a, b violation) int { return strings.Compare(a.Invariant+a.Request, b.Invariant+b.Request) })
 	return out
 }
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -29,7 +29,7 @@
 	case entryKill, entryStop, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse:
 		target = e.Name
 		s.injectEntryFault(ctx, inj, e)
-	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit:
+	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit, serverLeave, serverRest:
 		target = srv.id()
 		s.injectServerFault(ctx, inj, srv)
 	case storeBusy, storeSlow, storeLost, storeForget, storeRestore:
@@ -127,6 +127,12 @@
 		srv.link.resetConns()
 	case serverLimit:
 		s.nameLimit(ctx, inj, srv)
+	case serverLeave:
+		s.leave(ctx, inj, srv)
+	case serverRest:
+		srv.setFaults(standin.ServerFaults{Busy: true, Rest: restTime})
+		sleep(ctx, inj.Length)
+		srv.setFaults(standin.ServerFaults{})
 	default:
 		srv.setFaults(serverFaultsByKind[inj.Kind])
 		sleep(ctx, inj.Length)
--- a/internal/soaker/limits.go
+++ b/internal/soaker/limits.go
@@ -73,8 +73,13 @@
 
 // isExcused reports whether an entry was restarted or frozen from settleTime before a time on.
 func (h history) isExcused(entry string, at time.Time) bool {
+	return h.isExcusedSince(entry, at.Add(-settleTime), at)
+}
+
+// isExcusedSince reports whether an entry was restarted or frozen between two times.
+func (h history) isExcusedSince(entry string, from, to time.Time) bool {
 	return slices.ContainsFunc(h.Spans, func(s faultSpan) bool {
 		excuses := s.Kind == entryKill || s.Kind == entryStop || s.Kind == entryPause
-		return excuses && s.Target == entry && s.From.Before(at) && s.To.After(at.Add(-settleTime))
+		return excuses && s.Target == entry && s.From.Before(to) && s.To.After(from)
 	})
 }
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -36,6 +36,8 @@
 	serverOneWay  fault = "server-one-way"
 	serverReset   fault = "server-reset"
 	serverLimit   fault = "server-names-limit"
+	serverLeave   fault = "server-leaves"
+	serverRest    fault = "server-rests"
 	promptCrash   fault = "prompt-crashes"
 	planChange    fault = "plan-changes"
 	keyRevoke     fault = "key-revoked"
