Send nothing to backend servers that said in an answer that they leave

Cause: only the store's row counted. While the store cannot be reached it says ready, and what a server says of itself in its answers was read by nothing. The class: knowledge that arrives on one path is not asked for on the others.

Announcements holds what backend servers say of themselves, for each start of a server. It is filled by one function from the head of each answer, also of dropped, refused and late ones, but not of another server at the address, and asked before each send; the named limits become a part of it. A server that leaves gets nothing until its next start, whatever the store says. The entry that is told first tells the others. Where all servers leave, requests are refused at once.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -98,6 +98,7 @@
 	limits := limiter.NewServerLimits(limiter.ServerLimitsConfig{
 		Self: model.Instance{Instance: s.Instance, Place: s.Place}, Members: func() []model.Instance { return gossip.Members() }, Meter: m, Log: log,
 	})
+	leaving := limiter.NewLeavingServers(limiter.LeavingServersConfig{Meter: m, Log: log})
 	var f *forwarder.Forwarder
 	gossip = gossiper.New(gossiper.Config{
 		Self: s.Instance, Place: s.Place, Address: s.Gossip, Store: store, SharedKind: sharedObjectKind, Log: log,
@@ -106,6 +107,7 @@
 			{Broadcasts: rollouts.Broadcasts, OnBroadcast: rollouts.OnBroadcast},
 			{Broadcasts: quarantine.Broadcasts, OnBroadcast: quarantine.OnBroadcast},
 			{Broadcasts: limits.Broadcasts, OnBroadcast: limits.OnBroadcast},
+			{Broadcasts: leaving.Broadcasts, OnBroadcast: leaving.OnBroadcast},
 		},
 	})
 	platformState.OnSharedObject(func(o storer.Object) { gossip.UpdateMember(o, time.Now()) })
@@ -115,12 +117,12 @@
 	})
 	f = forwarder.New(forwarder.Config{
 		Settings: s, Names: platform.Names(), PlatformState: platformState,
-		Versions:   rollouts,
-		Quarantine: quarantine,
-		Limits:     limits,
-		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
-		RemoteWork: gossip.RemoteWork,
-		Clock:      follower.BootClock, Meter: m, Log: log,
+		Versions:      rollouts,
+		Quarantine:    quarantine,
+		Announcements: limiter.Announcements{Limits: limits, Leaving: leaving},
+		Cascade:       chooser.CascadeConfig{Floors: d.confidenceFloors},
+		RemoteWork:    gossip.RemoteWork,
+		Clock:         follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
 	var wg sync.WaitGroup
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -129,7 +130,10 @@
 		if load := resp.Header.Get(n.Load); load != "" {
 			rep.peer.recordLoad(load, time.Now())
 		}
-		if id := resp.Header.Get(n.Request); id != "" && id != c.id {
+		id := resp.Header.Get(n.Request)
+		unnamed := id == "" && (rep.conn.reused || foreign > 0)
+		f.hear(rep, !unnamed && (id == "" || id == c.id), time.Now())
+		if id != "" && id != c.id {
 			if foreign >= maxForeignAnswers {
 				return &failure{kind: failureBroken, cause: errForeignAnswer}
 			}
@@ -143,42 +147,42 @@
 			rep.conn.usableUntil = time.Time{}
 			continue
 		}
-		if resp.Header.Get(n.Request) == "" && (rep.conn.reused || foreign > 0) {
+		if unnamed {
 			// Without an id, this may be a late copy of an earlier answer on the connection.
 			return &failure{kind: failureBroken, cause: errNoRequestID}
 		}
-		f.observeLimit(rep, time.Now())
-		f.logAnnouncements(rep)
 		return f.checkHead(rep)
 	}
 }
 
-// logAnnouncements logs that a backend server leaves or asks for rest.
-func (f *Forwarder) logAnnouncements(rep *reply) {
-	leaving := rep.Header.Get(f.cfg.Names.Leaving) != ""
-	rest := parseRetryAfter(rep.Header)
-	if rep.StatusCode != http.StatusServiceUnavailable {
-		rest = 0
+// hear records what a backend server says of itself in an answer. An answer that is not to this request may be a late
+// copy: its limit may be old, but a server that leaves does not take that back.
+func (f *Forwarder) hear(rep *reply, matched bool, now time.Time) {
+	if rep.StatusCode == http.StatusMisdirectedRequest {
+		// Another backend server answered.
+		return
 	}
-	if leaving || rest > 0 {
-		f.cfg.Log.Info().Str("backend", string(rep.peer.server.Backend)).Bool("leaves", leaving).Dur("rest", rest).Msg("forwarder: a backend server leaves or asks for rest")
+	n := limiter.Announcement{Leaving: rep.Header.Get(f.cfg.Names.Leaving) != ""}
+	if matched {
+		f.readLimit(rep, &n)
 	}
+	f.cfg.Announcements.Observe(rep.peer.server.Lifetime(), n, now)
 }
 
-// observeLimit records the limit that a backend server names in its answer, or that it names none. Only the answer
-// to a request that ran lifts a limit.
-func (f *Forwarder) observeLimit(rep *reply, now time.Time) {
+// readLimit adds the limit that an answer names, or that it names none. Only the answer to a request that ran lifts a
+// limit.
+func (f *Forwarder) readLimit(rep *reply, n *limiter.Announcement) {
 	value := rep.Header.Get(f.cfg.Names.Limit)
-	if value == "" && rep.Header.Get(f.cfg.Names.Seal) == "" || rep.StatusCode == http.StatusMisdirectedRequest {
-		// A misdirected request was answered by another backend server.
+	if value == "" {
+		n.LimitKnown = rep.Header.Get(f.cfg.Names.Seal) != ""
 		return
 	}
 	rate, err := strconv.ParseFloat(value, 64)
-	if value != "" && (err != nil || !(rate >= 0 && rate <= maxServerLimit)) {
+	if err != nil || !(rate >= 0 && rate <= maxServerLimit) {
 		f.cfg.Log.Warn().Str("backend", string(rep.peer.server.Backend)).Str("limit", value).Msg("forwarder: the limit that a backend server names cannot be read")
 		return
 	}
-	f.cfg.Limits.Observe(rep.peer.server.Lifetime(), model.Rate(rate), value != "", now)
+	n.Limit, n.LimitNamed = model.Rate(rate), true
 }
 
 // maxServerLimit is the highest limit that is taken for one, in requests a second.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -51,9 +51,9 @@
 	PlatformState PlatformState
 	Versions      Versions
 	Quarantine    Quarantine
-	// Limits keeps all entries within the limits that backend servers name.
-	Limits  *limiter.ServerLimits
-	Cascade chooser.CascadeConfig
+	// Announcements keeps to what backend servers say of themselves in their answers.
+	Announcements limiter.Announcements
+	Cascade       chooser.CascadeConfig
 	// RemoteWork returns the open work of other entries at a backend server; nil if it is not shared.
 	RemoteWork func(b model.BackendID, now time.Time) gossiper.OpenWork
 	// Clock returns the time since boot.
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -383,9 +383,12 @@
 		},
 		Cascade: chooser.CascadeConfig{Floors: []int{70}},
 		Names:   testNames, PlatformState: state, Versions: allVersions{}, Quarantine: q,
-		Limits: limiter.NewServerLimits(limiter.ServerLimitsConfig{
-			Self: model.Instance{Instance: "e0"}, Members: func() []model.Instance { return nil }, Meter: meter.New(), Log: zerolog.Nop(),
-		}),
+		Announcements: limiter.Announcements{
+			Limits: limiter.NewServerLimits(limiter.ServerLimitsConfig{
+				Self: model.Instance{Instance: "e0"}, Members: func() []model.Instance { return nil }, Meter: meter.New(), Log: zerolog.Nop(),
+			}),
+			Leaving: limiter.NewLeavingServers(limiter.LeavingServersConfig{Meter: meter.New(), Log: zerolog.Nop()}),
+		},
 		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
 	})
 	listen := func() net.Listener {
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -9,14 +9,14 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// pickBackend chooses the backend server for the next attempt and counts the request against the limit that the
-// server may have named.
+// pickBackend chooses the backend server for the next attempt, among those that may get a request by what they said of
+// themselves, and counts the request there.
 func (f *Forwarder) pickBackend(c *call, now time.Time) (*peer, bool) {
 	candidates := f.candidates(c, now)
 	for {
 		p, ok := f.pickCandidate(c, candidates, now)
-		// Another request may have used up the limit after the choice, which then bars the server.
-		if !ok || f.cfg.Limits.Take(p.server, now) {
+		// Another request, or an answer, may have barred the server after the choice.
+		if !ok || f.cfg.Announcements.Take(p.server, now) {
 			return p, ok
 		}
 	}
@@ -29,13 +29,13 @@
 	return f.pickPlain(c, candidates, now)
 }
 
-// refuseLimited returns the refusal of a request whose backend servers have all used up the limits that they named,
-// or nil if there is another reason why none was chosen.
-func (f *Forwarder) refuseLimited(c *call, now time.Time) *model.Refusal {
+// refuseBarred returns the refusal of a request whose backend servers have all used up the limits that they named, or nil
+// if there is another reason why none was chosen.
+func (f *Forwarder) refuseBarred(c *call, now time.Time) *model.Refusal {
 	wait := time.Duration(0)
 	for _, s := range f.candidates(c, now) {
-		if limited, w := f.cfg.Limits.Check(s, now); limited && (wait == 0 || w < wait) {
-			wait = w
+		if p := f.cfg.Announcements.Check(s, now); p.Wait > 0 && (wait == 0 || p.Wait < wait) {
+			wait = p.Wait
 		}
 	}
 	if wait == 0 {
@@ -52,7 +52,7 @@
 	versions := f.cfg.Versions.Choose(VersionRequest{Service: c.service.Service, Session: c.session, Request: c.id, Servers: servers}, now)
 	candidates := make([]model.BackendServer, 0, len(servers))
 	for _, s := range servers {
-		if versions.Allows(s.Version) && !c.tried[s.Backend] && s.State == model.BackendReady {
+		if versions.Allows(s.Version) && !c.tried[s.Backend] && s.State == model.BackendReady && !f.cfg.Announcements.Check(s, now).Leaving {
 			candidates = append(candidates, s)
 		}
 	}
@@ -62,7 +62,7 @@
 func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
 	in := picker.DirectInput{Self: f.cfg.Settings.Place, Draw: rand.Float64(), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	for _, s := range servers {
-		if _, wait := f.cfg.Limits.Check(s, now); wait > 0 {
+		if !f.cfg.Announcements.Check(s, now).Allowed() {
 			in.Barred[s.Backend] = true
 			continue
 		}
@@ -93,9 +93,9 @@
 	}
 	for _, s := range servers {
 		e, excluded := f.peers.get(s, now).asEngine(s, in.PrefixKey, f.remoteWork(s.Backend, now), now)
-		limited, wait := f.cfg.Limits.Check(s, now)
-		e.Limited = limited
-		if wait > 0 {
+		permission := f.cfg.Announcements.Check(s, now)
+		e.Limited = permission.Limited
+		if !permission.Allowed() {
 			in.Barred[s.Backend] = true
 		} else {
 			in.Excluded[s.Backend] = excluded
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -62,7 +62,7 @@
 		now := time.Now()
 		p, ok := f.pickBackend(c, now)
 		if !ok {
-			if refusal := f.refuseLimited(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
+			if refusal := f.refuseBarred(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
 				last = refusal
 			}
 			break
--- /dev/null
+++ b/internal/limiter/announcements.go
@@ -0,0 +1,60 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+// Announcement is what a backend server says of itself in the head of an answer.
+type Announcement struct {
+	// Limit is the number of requests a second that the server takes from all entries, if LimitNamed is set. An answer
+	// without one lifts it if LimitKnown is set.
+	Limit                  model.Rate
+	LimitNamed, LimitKnown bool
+	// Leaving means that the server leaves and wants no more requests.
+	Leaving bool
+}
+
+// Permission says whether a backend server may get a request now.
+type Permission struct {
+	// Leaving means that it gets none until its next start.
+	Leaving bool
+	// Limited means that it names a limit of requests a second.
+	Limited bool
+	// Wait is the time until it may get one, unless it leaves.
+	Wait time.Duration
+}
+
+// Allowed reports whether the server may get a request now.
+func (p Permission) Allowed() bool { return !p.Leaving && p.Wait <= 0 }
+
+// Announcements keeps what backend servers said of themselves, for each start of a server, and decides from it whether a
+// server may get a request. Every answer is observed, and every request asks for its server, so that what was heard on
+// one path binds all others.
+type Announcements struct {
+	Limits  *ServerLimits
+	Leaving *LeavingServers
+}
+
+// Observe records the announcement in an answer of a backend server.
+func (a Announcements) Observe(s model.ServerLifetime, n Announcement, now time.Time) {
+	if n.Leaving {
+		a.Leaving.Observe(s, now)
+	}
+	if n.LimitNamed || n.LimitKnown {
+		a.Limits.Observe(s, n.Limit, n.LimitNamed, now)
+	}
+}
+
+// Check reports whether a backend server may get a request now.
+func (a Announcements) Check(s model.BackendServer, now time.Time) Permission {
+	p := Permission{Leaving: a.Leaving.IsLeaving(s.Lifetime())}
+	p.Limited, p.Wait = a.Limits.Check(s, now)
+	return p
+}
+
+// Take counts a request to a backend server and returns true, or returns false if the server may not get it now.
+func (a Announcements) Take(s model.BackendServer, now time.Time) bool {
+	return !a.Leaving.IsLeaving(s.Lifetime()) && a.Limits.Take(s, now)
+}
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -155,3 +156,42 @@
 		}
 	}
 }
+
+// TestAnnouncementChecks checks from when the announcements of backend servers bind an entry, and what excuses it.
+func TestAnnouncementChecks(t *testing.T) {
+	type spanCase struct {
+		Kind     fault
+		Target   string
+		From, To time.Duration
+	}
+	for _, c := range tester.Load[struct {
+		Name          string
+		Leaving, Rest time.Duration
+		Other         bool
+		Requests      []time.Duration
+		Spans         []spanCase
+		Want          int
+	}](t, "announcements.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			h := history{
+				Records:  []record{{ID: "r0", Entry: "entry-0", Sent: at(99 * time.Second), HeadAt: at(c.Leaving), Leaving: c.Leaving > 0, Seal: standin.Seal("r0", "i-1")}},
+				Arrivals: []standin.Arrival{{ID: "r0", Server: "i-1", At: at(100 * time.Second), Rest: c.Rest}},
+			}
+			entry := "entry-0"
+			if c.Other {
+				entry = "entry-1"
+			}
+			for i, sent := range c.Requests {
+				id := fmt.Sprint("r", i+1)
+				h.Records = append(h.Records, record{ID: id, Entry: entry, Sent: at(sent)})
+				h.Arrivals = append(h.Arrivals, standin.Arrival{ID: id, Server: "i-1", At: at(sent)})
+			}
+			for _, s := range c.Spans {
+				h.Spans = append(h.Spans, faultSpan{Kind: s.Kind, Target: s.Target, From: at(s.From), To: at(s.To)})
+			}
+			if diff := cmp.Diff(c.Want, len(checkLeaving(h))+len(checkRests(h))); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
