Leave backend servers alone for as long as they ask for rest

What callers saw: servers that turned requests away and asked for rest got 24 to 49 more from the same entry in that time.

Cause: the Retry-After of a server told only the caller when to return, and nothing kept it for the server: the same class as servers that leave.

Rest is one more announcement. Where all servers rest, requests are refused at once as not run, with the earliest end; a caller whose request a server turned away is told to return when any server is free, not when this one is.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -117,12 +117,15 @@
 	})
 	f = forwarder.New(forwarder.Config{
 		Settings: s, Names: platform.Names(), PlatformState: platformState,
-		Versions:      rollouts,
-		Quarantine:    quarantine,
-		Announcements: limiter.Announcements{Limits: limits, Leaving: leaving},
-		Cascade:       chooser.CascadeConfig{Floors: d.confidenceFloors},
-		RemoteWork:    gossip.RemoteWork,
-		Clock:         follower.BootClock, Meter: m, Log: log,
+		Versions:   rollouts,
+		Quarantine: quarantine,
+		Announcements: limiter.Announcements{
+			Limits: limits, Leaving: leaving,
+			Resting: limiter.NewRestingServers(limiter.RestingServersConfig{Self: s.Instance, Meter: m, Log: log}),
+		},
+		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
+		RemoteWork: gossip.RemoteWork,
+		Clock:      follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
 	var wg sync.WaitGroup
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -40,7 +40,9 @@
 type failure struct {
 	kind  failureKind
 	cause error
-	retry time.Duration
+	// retry is when the backend server wants the request again, resting whether it turned this entry away for so long.
+	retry   time.Duration
+	resting bool
 	// dropped means that a reused idle connection was closed as soon as the request was sent.
 	dropped bool
 }
@@ -156,7 +158,7 @@
 }
 
 // hear records what a backend server says of itself in an answer. An answer that is not to this request may be a late
-// copy: its limit may be old, but a server that leaves does not take that back.
+// copy: its limit or rest may be old, but a server that leaves does not take that back.
 func (f *Forwarder) hear(rep *reply, matched bool, now time.Time) {
 	if rep.StatusCode == http.StatusMisdirectedRequest {
 		// Another backend server answered.
@@ -165,6 +167,7 @@
 	n := limiter.Announcement{Leaving: rep.Header.Get(f.cfg.Names.Leaving) != ""}
 	if matched {
 		f.readLimit(rep, &n)
+		n.Rest, n.RestKnown = f.readRest(rep), true
 	}
 	f.cfg.Announcements.Observe(rep.peer.server.Lifetime(), n, now)
 }
@@ -185,6 +188,23 @@
 	n.Limit, n.LimitNamed = model.Rate(rate), true
 }
 
+// readRest returns the rest that an answer asks for which turns the request away, or 0.
+func (f *Forwarder) readRest(rep *reply) time.Duration {
+	value := rep.Header.Get("Retry-After")
+	if rep.StatusCode != http.StatusServiceUnavailable || value == "" {
+		return 0
+	}
+	s, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(s >= 0) {
+		f.cfg.Log.Warn().Str("backend", string(rep.peer.server.Backend)).Str("rest", value).Msg("forwarder: the rest that a backend server asks for cannot be read")
+		return 0
+	}
+	return time.Duration(min(s, maxRestSeconds) * float64(time.Second))
+}
+
+// maxRestSeconds is the longest rest that is told apart from longer ones.
+const maxRestSeconds = 86400
+
 // maxServerLimit is the highest limit that is taken for one, in requests a second.
 const maxServerLimit = 1e6
 
@@ -196,7 +216,7 @@
 	case rep.StatusCode == http.StatusMisdirectedRequest:
 		return &failure{kind: failureMisdirected, cause: errors.New("another backend server has the address")}
 	case h.Get(n.NotRun) != "":
-		return &failure{kind: failureNotRun, cause: fmt.Errorf("status %d, not run", rep.StatusCode), retry: parseRetryAfter(h)}
+		return &failure{kind: failureNotRun, cause: fmt.Errorf("status %d, not run", rep.StatusCode), retry: parseRetryAfter(h), resting: rep.StatusCode == http.StatusServiceUnavailable}
 	case h.Get("Content-Encoding") != "":
 		return &failure{kind: failureBroken, cause: errEncoded}
 	case !rep.sealed && rep.StatusCode < http.StatusMultipleChoices:
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -388,6 +388,7 @@
 				Self: model.Instance{Instance: "e0"}, Members: func() []model.Instance { return nil }, Meter: meter.New(), Log: zerolog.Nop(),
 			}),
 			Leaving: limiter.NewLeavingServers(limiter.LeavingServersConfig{Meter: meter.New(), Log: zerolog.Nop()}),
+			Resting: limiter.NewRestingServers(limiter.RestingServersConfig{Self: "e0", Meter: meter.New(), Log: zerolog.Nop()}),
 		},
 		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
 	})
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
@@ -29,34 +30,73 @@
 	return f.pickPlain(c, candidates, now)
 }
 
-// refuseBarred returns the refusal of a request whose backend servers have all used up the limits that they named, or nil
-// if there is another reason why none was chosen.
+// refuseBarred returns the refusal of a request whose backend servers all rest or have used up the limits that they
+// named, or nil if there is another reason why none was chosen.
 func (f *Forwarder) refuseBarred(c *call, now time.Time) *model.Refusal {
-	wait := time.Duration(0)
-	for _, s := range f.candidates(c, now) {
-		if p := f.cfg.Announcements.Check(s, now); p.Wait > 0 && (wait == 0 || p.Wait < wait) {
-			wait = p.Wait
-		}
-	}
+	wait, resting := f.earliest(f.candidates(c, now), now)
 	if wait == 0 {
 		return nil
 	}
+	if resting {
+		f.cfg.Meter.Count("rests/refused", 1)
+		return model.Refuse(model.KindOverload, "all backend servers that may run the request asked for rest or used up their limits: try again later").
+			WithRetry(restRetryAfter(wait, rand.Float64()))
+	}
 	f.cfg.Meter.Count("limits/refused", 1)
 	return model.Refuse(model.KindOverload, "all backend servers that may run the request have named limits, which are used up: try again later").
 		WithRetry(max(minRetry, time.Duration((1+rand.Float64())*float64(wait))))
 }
 
+// maxRestReturn is the time over which callers return after the earliest end of a rest.
+const maxRestReturn = 500 * time.Millisecond
+
+// restRetryAfter returns when a caller may return whose request must wait for the end of a rest; random in [0, 1) adds
+// jitter, so that callers do not return together.
+func restRetryAfter(wait time.Duration, random float64) time.Duration {
+	return max(minRetry, wait+time.Duration(random*float64(min(wait, maxRestReturn))))
+}
+
+// earliest returns the time until the first of some backend servers may get a request, 0 if one may now or there is
+// none, and whether that one rests.
+func (f *Forwarder) earliest(servers []model.BackendServer, now time.Time) (wait time.Duration, resting bool) {
+	for i, s := range servers {
+		p := f.cfg.Announcements.Check(s, now)
+		if p.Wait <= 0 {
+			return 0, false
+		}
+		if i == 0 || p.Wait < wait {
+			wait, resting = p.Wait, p.Resting
+		}
+	}
+	return wait, resting
+}
+
+// retryAfterTurnedAway returns when a caller may return whose request a backend server turned away. The rest that the
+// server asked for is its own: others may be free.
+func (f *Forwarder) retryAfterTurnedAway(c *call, fail *failure, now time.Time) time.Duration {
+	if !fail.resting {
+		return max(fail.retry, minRetry)
+	}
+	wait, _ := f.earliest(f.eligible(c, now), now)
+	return restRetryAfter(wait, rand.Float64())
+}
+
 // candidates returns the backend servers that are eligible for the next attempt.
 func (f *Forwarder) candidates(c *call, now time.Time) []model.BackendServer {
+	return slices.DeleteFunc(f.eligible(c, now), func(s model.BackendServer) bool { return c.tried[s.Backend] })
+}
+
+// eligible returns the backend servers that may run the request.
+func (f *Forwarder) eligible(c *call, now time.Time) []model.BackendServer {
 	servers := f.cfg.PlatformState.Servers(c.service.Service, now)
 	versions := f.cfg.Versions.Choose(VersionRequest{Service: c.service.Service, Session: c.session, Request: c.id, Servers: servers}, now)
-	candidates := make([]model.BackendServer, 0, len(servers))
+	out := make([]model.BackendServer, 0, len(servers))
 	for _, s := range servers {
-		if versions.Allows(s.Version) && !c.tried[s.Backend] && s.State == model.BackendReady && !f.cfg.Announcements.Check(s, now).Leaving {
-			candidates = append(candidates, s)
+		if versions.Allows(s.Version) && s.State == model.BackendReady && !f.cfg.Announcements.Check(s, now).Leaving {
+			out = append(out, s)
 		}
 	}
-	return candidates
+	return out
 }
 
 func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -184,7 +184,7 @@
 	case ctx.Err() != nil && c.sent > 0, fail.kind == failureSilent && !time.Now().Before(c.deadline):
 		return model.Refuse(model.KindDeadline, "no answer came in time: allow more time").WithRun(model.RunUnknown)
 	case fail.kind == failureNotRun || fail.kind == failureMisdirected || fail.kind == failureUnreached:
-		return model.Refuse(model.KindBusy, "the backend server did not run the request: %v", fail.cause).WithRun(run).WithRetry(max(fail.retry, minRetry))
+		return model.Refuse(model.KindBusy, "the backend server did not run the request: %v", fail.cause).WithRun(run).WithRetry(f.retryAfterTurnedAway(c, fail, time.Now()))
 	case c.mayHaveRun:
 		return model.Refuse(model.KindBrokenAnswer, "the backend server's answer broke off: send the request again if it may run twice").WithRun(model.RunUnknown)
 	}
--- a/internal/limiter/announcements.go
+++ b/internal/limiter/announcements.go
@@ -14,15 +14,19 @@
 	LimitNamed, LimitKnown bool
 	// Leaving means that the server leaves and wants no more requests.
 	Leaving bool
+	// Rest is how long the server, which turned a request away, wants nothing from this entry. If RestKnown is set, 0
+	// means that it does not ask for rest.
+	Rest      time.Duration
+	RestKnown bool
 }
 
 // Permission says whether a backend server may get a request now.
 type Permission struct {
 	// Leaving means that it gets none until its next start.
 	Leaving bool
-	// Limited means that it names a limit of requests a second.
-	Limited bool
-	// Wait is the time until it may get one, unless it leaves.
+	// Limited means that it names a limit of requests a second, Resting that it rests.
+	Limited, Resting bool
+	// Wait is the time until it may get one, unless it leaves: it rests, or its limit is used up.
 	Wait time.Duration
 }
 
@@ -35,6 +39,7 @@
 type Announcements struct {
 	Limits  *ServerLimits
 	Leaving *LeavingServers
+	Resting *RestingServers
 }
 
 // Observe records the announcement in an answer of a backend server.
@@ -42,6 +47,9 @@
 	if n.Leaving {
 		a.Leaving.Observe(s, now)
 	}
+	if n.RestKnown {
+		a.Resting.Observe(s, n.Rest, now)
+	}
 	if n.LimitNamed || n.LimitKnown {
 		a.Limits.Observe(s, n.Limit, n.LimitNamed, now)
 	}
@@ -51,10 +59,12 @@
 func (a Announcements) Check(s model.BackendServer, now time.Time) Permission {
 	p := Permission{Leaving: a.Leaving.IsLeaving(s.Lifetime())}
 	p.Limited, p.Wait = a.Limits.Check(s, now)
+	rest := a.Resting.Wait(s.Lifetime(), now)
+	p.Resting, p.Wait = rest > 0, max(p.Wait, rest)
 	return p
 }
 
 // Take counts a request to a backend server and returns true, or returns false if the server may not get it now.
 func (a Announcements) Take(s model.BackendServer, now time.Time) bool {
-	return !a.Leaving.IsLeaving(s.Lifetime()) && a.Limits.Take(s, now)
+	return !a.Leaving.IsLeaving(s.Lifetime()) && a.Resting.Take(s.Lifetime(), now) && a.Limits.Take(s, now)
 }
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -48,7 +48,7 @@
 	entryKill, entryStop, entryPause, entryReload, callerDelay, callerReset,
 	storeSilent, storeOneWay, storeRefuse, storeBusy, storeSlow, storeLost, storeForget, storeRestore,
 	serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset,
-	serverLimit, serverLeave, promptCrash, planChange, keyRevoke,
+	serverLimit, serverLeave, serverRest, promptCrash, planChange, keyRevoke,
 }
 
 // Injection is one fault with its start in a run and its length.
@@ -85,7 +85,7 @@
 			Length: minFaultLength + time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength)),
 			Kind:   allFaults[r.IntN(len(allFaults))], Pick: r.IntN(1 << 20),
 		}
-		if b.Kind == promptCrash || b.Kind == serverLimit || b.Kind == serverLeave {
+		if b.Kind == promptCrash || b.Kind == serverLimit || b.Kind == serverLeave || b.Kind == serverRest {
 			b.Length *= longFaultFactor
 		}
 		series := 1
