Do not send to a listed backend server whose address a later one has

What callers saw: requests placed at a server that had crashed reached the one that started at its address, which does not run them (421): a lost attempt each, for up to four seconds until the object of the first expires.

Cause: rows of servers were usable for as long as they were listed, although only one server can have an address.

Of rows with the same address only that of the latest start is usable, or of the latest revision if the starts are equal.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -22,8 +22,8 @@
 
 var errRubbish = errors.New("rubbish")
 
-// testDecoder decodes a plan's version from the length of its value and takes a server's value as its state and, after
-// an @, its start.
+// testDecoder decodes a plan's version from the length of its value and takes a server's value as its state and, each
+// after an @, its start and its address.
 var testDecoder = Decoder{
 	IsPlan: func(key string) bool { return key == "plans/main" },
 	Plan: func(value []byte) (*model.Plan, error) {
@@ -37,8 +37,9 @@
 			return model.BackendServer{}, errRubbish
 		}
 		id := strings.TrimPrefix(o.Key, "servers/")
-		state, start, _ := strings.Cut(string(o.Value), "@")
-		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(state), StartUnixMilli: parseStart(start)}, nil
+		state, rest, _ := strings.Cut(string(o.Value), "@")
+		start, address, _ := strings.Cut(rest, "@")
+		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(state), StartUnixMilli: parseStart(start), Address: address}, nil
 	},
 	Order: func(o storer.Object) (model.RolloutOrder, error) {
 		return model.RolloutOrder{Service: model.ServiceID(strings.TrimPrefix(o.Key, "orders/")), Version: model.VersionID(o.Value), Revision: o.Revision, Created: o.Created}, nil
--- a/internal/follower/servers.go
+++ b/internal/follower/servers.go
@@ -41,6 +41,8 @@
 	// removeAt is the earliest removeAt of all rows, or zero if none is set.
 	removeAt  time.Time
 	byService map[model.ServiceID][]model.BackendServer
+	// replaced holds the keys of the rows whose address belongs to a later start.
+	replaced map[string]bool
 }
 
 func newServerTable() *serverTable {
@@ -73,7 +75,13 @@
 			f.logServer("follower: backend server is gone, its object did not return after the store outage", r.server)
 		}
 	}
-	f.servers.rebuildIndex()
+	f.rebuildServers()
+}
+
+func (f *Follower) rebuildServers() {
+	for _, r := range f.servers.rebuildIndex() {
+		f.logServer("follower: address of the backend server belongs to a later one", r.server)
+	}
 }
 
 func (f *Follower) applyServers(b batch, now time.Time) {
@@ -105,7 +113,7 @@
 		}
 	}
 	t.forgetDepartures(now)
-	t.rebuildIndex()
+	f.rebuildServers()
 }
 
 // removeServer removes a backend server at once. Right after an outage it keeps a ready one for
@@ -189,17 +197,50 @@
 }
 
 // rebuildIndex groups the usable rows by service and finds the next removal. Readers still hold the old
-// slices, so it builds new ones.
-func (t *serverTable) rebuildIndex() {
+// slices, so it builds new ones. It returns the rows that are no longer usable because a later start of a backend
+// server has their address: whoever sends there reaches that one.
+func (t *serverTable) rebuildIndex() (replaced []serverRow) {
+	atAddress := t.latestAtAddress()
+	was := t.replaced
+	t.replaced = map[string]bool{}
 	byService := make(map[model.ServiceID][]model.BackendServer, len(t.byService))
 	t.removeAt = time.Time{}
-	for _, r := range t.rows {
+	for key, r := range t.rows {
 		if !r.removeAt.IsZero() && (t.removeAt.IsZero() || r.removeAt.Before(t.removeAt)) {
 			t.removeAt = r.removeAt
 		}
-		if !r.unreadable {
+		switch latest, ok := atAddress[r.server.Address]; {
+		case r.unreadable:
+		case ok && latest != key:
+			if t.replaced[key] = true; !was[key] {
+				replaced = append(replaced, r)
+			}
+		default:
 			byService[r.server.Service] = append(byService[r.server.Service], r.server)
 		}
 	}
 	t.byService = byService
+	return replaced
+}
+
+// latestAtAddress returns the key of the backend server that started last at each address.
+func (t *serverTable) latestAtAddress() map[string]string {
+	out := make(map[string]string, len(t.rows))
+	for key, r := range t.rows {
+		if r.unreadable || r.server.Address == "" {
+			continue
+		}
+		other, taken := out[r.server.Address]
+		if !taken || r.startedAfter(t.rows[other]) {
+			out[r.server.Address] = key
+		}
+	}
+	return out
+}
+
+func (r serverRow) startedAfter(other serverRow) bool {
+	if r.server.StartUnixMilli != other.server.StartUnixMilli {
+		return r.server.StartUnixMilli > other.server.StartUnixMilli
+	}
+	return r.revision > other.revision
 }
