Judge the objects of a restored store once in each era

What callers would see: a second list after a restore, such as after a lost history, brings a backend server into use that had gone before; one that was gone, expired in the copy and wrote its object again is never used.

Cause: a list was taken to be the first of an era by what its reader knew, not by what had been applied, and relays and own watches may both bring it; objects at a known revision were taken for news; the state that was only assumed of a server that had gone was remembered as its own word.

The first update of a kind in an era is found where updates are applied, for the store and relays alike. Objects at their known revision change nothing but a pending removal.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -74,7 +74,9 @@
 	// feed holds the objects in the form in which they are passed on; updates serialises their application.
 	feed    *relayer.Feed
 	updates sync.Mutex
-	relayed relayState
+	// revisions holds the revision of the last update of each kind; updates guards it.
+	revisions map[string]model.Revision
+	relayed   relayState
 	// outageEnded is nil while the store answers. An outage sets it and closes it at its end.
 	outageEnded chan struct{}
 }
@@ -89,6 +91,7 @@
 		listed:        map[string]bool{},
 		ready:         make(chan struct{}),
 		feed:          relayer.NewFeed(),
+		revisions:     map[string]model.Revision{},
 		floor:         floor{newEra: make(chan struct{}, 1)},
 	}
 	if cfg.Relays != nil {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -68,10 +68,12 @@
 		Old      bool
 		Regained bool
 		Restored bool
-		After    time.Duration
-		Put      map[string]string
-		Remove   []string
-		Want     map[model.BackendID]model.BackendState
+		// Again gives the objects the revisions that they have already.
+		Again  bool
+		After  time.Duration
+		Put    map[string]string
+		Remove []string
+		Want   map[model.BackendID]model.BackendState
 	}
 	b, err := os.ReadFile("testdata/servers.yaml")
 	if err != nil {
@@ -87,7 +89,7 @@
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			f := newTestFollower(nil, nil)
-			now, revision := time.Unix(1000, 0), model.Revision(10)
+			now, revision, revisions := time.Unix(1000, 0), model.Revision(10), map[string]model.Revision{}
 			for i, s := range c.Steps {
 				now = now.Add(s.After)
 				in := batch{full: s.Full, regained: s.Regained || s.Restored, restored: s.Restored}
@@ -100,6 +102,10 @@
 					if s.Old {
 						o.Revision = 1
 					}
+					if s.Again {
+						o.Revision = revisions[id]
+					}
+					revisions[id] = o.Revision
 					in.objects = append(in.objects, o)
 				}
 				for _, id := range s.Remove {
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -303,8 +303,7 @@
 	regained := reply.Regained != nil && *reply.Regained < removalGrace
 	for _, s := range f.subscriptions()[1:] {
 		if u, ok := reply.Kinds[s.kind]; ok {
-			restored := u.Revision.Era() > f.feed.Revision(s.kind).Era()
-			f.update(s, batch{objects: u.Objects, full: u.Full, regained: regained || restored, restored: restored}, u.Revision, now)
+			f.update(s, batch{objects: u.Objects, full: u.Full, regained: regained}, u.Revision, now)
 		}
 	}
 	asOf := reply.AsOf(p.sent)
--- a/internal/follower/servers.go
+++ b/internal/follower/servers.go
@@ -108,6 +108,9 @@
 		case ok && o.Revision < known.revision:
 		case o.Deleted:
 			f.removeServer(o.Key, now)
+		case ok && o.Revision == known.revision:
+			known.removeAt = time.Time{}
+			t.rows[o.Key] = known
 		default:
 			f.putServer(o, known, b.restored, now)
 		}
@@ -136,14 +139,13 @@
 // remove removes a row and remembers that its backend server left.
 func (t *serverTable) remove(key string, now time.Time) {
 	if r := t.rows[key]; !r.unreadable {
-		t.depart(r.server, now)
+		t.depart(r.server.Lifetime(), false, now)
 	}
 	delete(t.rows, key)
 }
 
-func (t *serverTable) depart(s model.BackendServer, now time.Time) {
-	drained := s.State == model.BackendDraining || t.departed[s.Lifetime()].drained
-	t.departed[s.Lifetime()] = departure{at: now, drained: drained}
+func (t *serverTable) depart(s model.ServerLifetime, drains bool, now time.Time) {
+	t.departed[s] = departure{at: now, drained: drains || t.departed[s].drained}
 }
 
 func (t *serverTable) forgetDepartures(now time.Time) {
@@ -182,7 +184,7 @@
 		return
 	}
 	if s.State == model.BackendDraining {
-		t.depart(s, now)
+		t.depart(s.Lifetime(), true, now)
 	}
 	s.State = t.stateAfter(s, restored)
 	if known.server.State != s.State || known.server.Address != s.Address || known.server.StartUnixMilli != s.StartUnixMilli {
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -130,13 +130,7 @@
 				Uint32("era", uint32(listing.Revision.Era())).Msg("follower: store regained")
 		}
 		lostAt, backoff = time.Time{}, firstBackoff
-		restored := from != 0 && listing.Revision.Era() > from.Era()
-		if restored {
-			f.cfg.Log.Warn().Str("kind", s.kind).Int64("from", from.Change()).Int64("revision", listing.Revision.Change()).
-				Uint32("era", uint32(listing.Revision.Era())).Msg("follower: store came back from a copy")
-			f.cfg.Meter.Count("store_restores/"+s.kind, 1)
-		}
-		f.update(s, batch{objects: listing.Objects, full: full, regained: regained || restored, restored: restored}, listing.Revision, now)
+		f.update(s, batch{objects: listing.Objects, full: full, regained: regained}, listing.Revision, now)
 		from, full = listing.Revision, false
 		if s.confirm != nil {
 			f.setOutage(false)
@@ -156,6 +150,7 @@
 		// A relay was faster.
 		return
 	}
+	f.noteRestore(s, &b, revision)
 	if s.confirm != nil {
 		f.noteEra(revision.Era())
 	}
@@ -171,6 +166,20 @@
 	}
 }
 
+// noteRestore marks the first objects of a kind from a new era, whether the store or a relay told of them; the caller
+// holds updates.
+func (f *Follower) noteRestore(s subscription, b *batch, revision model.Revision) {
+	before := f.revisions[s.kind]
+	f.revisions[s.kind] = revision
+	if before == 0 || revision.Era() <= before.Era() {
+		return
+	}
+	b.regained, b.restored = true, true
+	f.cfg.Log.Warn().Str("kind", s.kind).Int64("from", before.Change()).Int64("revision", revision.Change()).
+		Uint32("era", uint32(revision.Era())).Msg("follower: store came back from a copy")
+	f.cfg.Meter.Count("store_restores/"+s.kind, 1)
+}
+
 // awaitOutageEnd waits while the plan's calls fail, so that during an outage only the plan's watch
 // calls the store.
 func (f *Follower) awaitOutageEnd(ctx context.Context) {
