Keep the trace of each request that the soak reports

A report now has what the caller and the backend servers saw of each request that a violation names, the faults that concern it and what its entry logged, of at most twenty requests.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -56,6 +56,9 @@
 		for _, line := range report.Violations {
 			fmt.Fprintf(out, "  %s\n", line)
 		}
+		for _, text := range report.Traces {
+			fmt.Fprintf(out, "%s\n", text)
+		}
 		if len(report.Violations) > 0 {
 			code = exitFailure
 		}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -38,6 +38,8 @@
 	Requests, Served, Faults int
 	// Violations has one line for each violated invariant and for each failure of the soak itself.
 	Violations []string
+	// Traces has what is known of the requests that violations name, of the first ones if there are many.
+	Traces []string
 }
 
 const host = "soak.example"
@@ -116,7 +118,12 @@
 	for _, e := range s.entries {
 		out.Violations = append(out.Violations, e.problems...)
 	}
-	for _, v := range checkHistory(s.history) {
+	found := checkHistory(s.history)
+	var err error
+	if out.Traces, err = s.traceViolations(found); err != nil {
+		out.Violations = append(out.Violations, err.Error())
+	}
+	for _, v := range found {
 		out.Violations = append(out.Violations, fmt.Sprintf("%s: request %s: %s", v.Invariant, v.Request, v.Detail))
 	}
 	return out
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -34,6 +34,9 @@
 		for _, line := range report.Violations {
 			t.Errorf("seed %d: %s", c.Seed, line)
 		}
+		for _, text := range report.Traces {
+			t.Log(text)
+		}
 	}
 }
 
@@ -71,6 +74,9 @@
 			for _, line := range report.Violations {
 				t.Error(line)
 			}
+			for _, text := range report.Traces {
+				t.Log(text)
+			}
 		})
 	}
 }
