--- a/internal/soaker/restore.go
+++ b/internal/soaker/restore.go
@@ -17,8 +17,8 @@
 	rewriteSpread = 2 * time.Second
 )
 
-// restoreStore takes the store away and lets it come back from an earlier state. The operator writes the plan again at
-// once and living backend servers their entries a little later; entries of servers that are gone expire.
+// restoreStore takes the store away and lets it come back in a new era, with an earlier state. The operator writes the
+// plan again at once and living backend servers their entries a little later; entries of servers that are gone expire.
 func (s *soak) restoreStore(ctx context.Context, inj Injection) {
 	s.store.SetFaults(standin.StoreFaults{Busy: true})
 	sleep(ctx, min(inj.Length, maxStoreOutage))
