Do not give a port of the soak to two entries

Cause: a port was looked for again as soon as its probe was closed, and an entry that starts, or is down, does not listen at its port.

Ports are noted until the run ends.

--- a/internal/soaker/ports.go
+++ b/internal/soaker/ports.go
@@ -20,13 +20,30 @@
 // program, it holds a copy of them, so that the ports stay in use after they were closed here.
 var portsMu sync.Mutex
 
-// freePorts returns n ports that are currently free for TCP and whose next port is free for UDP.
+// givenPorts holds the ports that entries have; portsMu guards it. A port is free for a moment before its entry listens,
+// and while that is down.
+var givenPorts = map[int]bool{}
+
+// releasePorts gives ports back.
+func releasePorts(ports []int) {
+	portsMu.Lock()
+	defer portsMu.Unlock()
+	for _, port := range ports {
+		delete(givenPorts, port)
+	}
+}
+
+// freePorts returns n ports that are currently free for TCP and whose next port is free for UDP, and that no other entry
+// has.
 func freePorts(n int) ([]int, error) {
 	portsMu.Lock()
 	defer portsMu.Unlock()
 	var out []int
 	for range maxPortTries {
 		port := firstPort + 2*rand.IntN((lastPort-firstPort)/2)
+		if givenPorts[port] {
+			continue
+		}
 		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
@@ -39,6 +56,9 @@
 		}
 		_ = u.Close()
 		if out = append(out, port); len(out) == n {
+			for _, port := range out {
+				givenPorts[port] = true
+			}
 			return out, nil
 		}
 	}
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -25,6 +25,7 @@
 	program      string
 	settingsFile string
 	logFile      *os.File
+	ports        []int
 	// callers is the proxy for the callers' connections to the entry, store the one for the entry's
 	// connections to the store.
 	callers, store *proxy
@@ -127,6 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.ports = ports
 	e.Callers, e.Ready, e.Port = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1]), ports[2]
 	if e.store, err = newProxy("127.0.0.1:0", store); err != nil {
 		return nil, err
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -260,6 +260,7 @@
 		}
 		e.callers.goDown()
 		e.store.goDown()
+		releasePorts(e.ports)
 		errs = append(errs, e.logFile.Close())
 	}
 	for _, srv := range s.servers {
