--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -134,7 +134,7 @@
 		}
 		id := resp.Header.Get(n.Request)
 		unnamed := id == "" && (rep.conn.reused || foreign > 0)
-		f.hear(rep, !unnamed && (id == "" || id == c.id), time.Now())
+		f.observeAnnouncement(rep, !unnamed && (id == "" || id == c.id), time.Now())
 		if id != "" && id != c.id {
 			if foreign >= maxForeignAnswers {
 				return &failure{kind: failureBroken, cause: errForeignAnswer}
@@ -157,9 +157,9 @@
 	}
 }
 
-// hear records what a backend server says of itself in an answer. An answer that is not to this request may be a late
-// copy: its limit or rest may be old, but a server that leaves does not take that back.
-func (f *Forwarder) hear(rep *reply, matched bool, now time.Time) {
+// observeAnnouncement records what a backend server says of itself in an answer. An answer that is not to this request
+// may be a late copy: its limit or rest may be old, but a server that leaves does not take that back.
+func (f *Forwarder) observeAnnouncement(rep *reply, matched bool, now time.Time) {
 	if rep.StatusCode == http.StatusMisdirectedRequest {
 		// Another backend server answered.
 		return
