--- a/internal/limiter/rests.go
+++ b/internal/limiter/rests.go
@@ -29,8 +29,8 @@
 }
 
 // RestingServers holds the backend servers that turned a request of this entry away and asked it to send nothing for a
-// while. The wish is for this entry alone. Servers that rest are full, so that all that waited must not return at
-// once: after the rest one request goes first, and others follow once it got another answer.
+// while. A rest applies to this entry only. Servers that rest are full, so the requests that waited must not return
+// together: one goes first after the rest, and others follow once it got an answer that asks for none.
 type RestingServers struct {
 	cfg RestingServersConfig
 	// count is the number of servers, so that requests take no lock while there are none.
@@ -61,7 +61,7 @@
 	defer l.mu.Unlock()
 	r := l.rests[s]
 	if asked <= 0 {
-		// Answers to requests that were sent before the rest end it as little as its passing does.
+		// Requests that were sent before the rest may still be answered in it; only an answer after it ends it.
 		if r != nil && !r.triedAt.IsZero() {
 			l.end(s)
 		}
