--- a/review/play/drain.go
+++ b/review/play/drain.go
@@ -68,11 +68,7 @@
 	w.platform.onWatch(nil)
 	time.Sleep(100 * time.Millisecond)
 	if trouble {
-		n, err := w.platform.silence()
-		if err != nil {
-			return nil, err
-		}
-		w.note("store: %d idle channels go silent", n)
+		w.note("store: %d idle channels go silent", w.platform.silence(w))
 	}
 	// The entry is in touch again by then.
 	time.Sleep(contact + time.Second)
--- a/review/play/world.go
+++ b/review/play/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -87,17 +88,23 @@
 	mu sync.Mutex
 	// watched is called with the kind of each watch, before it waits (done unset) and after its answer.
 	watched func(kind string, done bool)
-	// idle holds the channels on which no call is pending.
-	idle map[net.Conn]bool
+	// idle holds the channels on which no call is pending, silent those that went silent.
+	idle, silent map[net.Conn]bool
 }
 
+// connKey is the key of a call's channel in its context.
+type connKey struct{}
+
 func newPlatform(w *world) (*platform, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{store: standin.NewStore(), addr: l.Addr().String(), idle: map[net.Conn]bool{}}
-	p.server = &http.Server{Handler: p, ReadHeaderTimeout: 5 * time.Second, ConnState: p.track}
+	p := &platform{store: standin.NewStore(), addr: l.Addr().String(), idle: map[net.Conn]bool{}, silent: map[net.Conn]bool{}}
+	p.server = &http.Server{
+		Handler: p, ReadHeaderTimeout: 5 * time.Second, ConnState: p.track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
 	go func() {
 		// Serve returns at the end of the script.
 		_ = p.server.Serve(l)
@@ -107,8 +114,12 @@
 
 func (p *platform) close() { _ = p.server.Close() }
 
-// ServeHTTP serves one call.
+// ServeHTTP serves one call. A call on a silent channel gets no answer.
 func (p *platform) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && p.isSilent(c) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if !r.URL.Query().Has("watch") {
 		p.store.ServeHTTP(rw, r)
 		return
@@ -136,17 +147,25 @@
 	}
 }
 
+func (p *platform) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 // silence makes the channels on which no call is pending silent for good, and returns their number. New channels work.
-func (p *platform) silence() (n int, err error) {
+// Where the kernel does not take the filter, the calls on these channels get no answer all the same.
+func (p *platform) silence(w *world) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.idle {
 		if err := dropAll(c); err != nil {
-			return n, err
+			w.note("store: no filter on the silent channel: %v", err)
 		}
+		p.silent[c] = true
 		n++
 	}
-	return n, nil
+	return n
 }
 
 // dropAll has the kernel drop all that arrives on a channel of this process, acknowledgements and probes too, without a
