Log which connections a stop closes, which requests crossed a close, and why a caller counts as gone

Callers saw a closed connection around SIGTERM, and no line told who closed what first. A stop that ended with open connections logged only a number, a request that crossed the closing of its idle connection nothing, and 'the caller left' no cause. Change: the frontend keeps net/http's state of each connection and its last request id, and logs both for each connection that the end of a stop closes while it is not idle; a dropped request and the cause of a caller who left are logged.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -154,7 +154,9 @@
 // Run serves until ctx ends. It then reports that it is not ready, serves requests that still arrive,
 // completes those in flight and returns before the grace period ends.
 func (f *Forwarder) Run(ctx context.Context, l Listeners) error {
-	front := newFrontend(http.HandlerFunc(f.serve), f.limits)
+	front := newFrontend(frontendConfig{
+		Handler: http.HandlerFunc(f.serve), Limits: f.limits, RequestHeader: f.cfg.Names.Request, Meter: f.cfg.Meter, Log: f.cfg.Log,
+	})
 	ready := &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: time.Second}
 	errs := make(chan error, 3)
 	var wg sync.WaitGroup
--- a/internal/forwarder/frontend.go
+++ b/internal/forwarder/frontend.go
@@ -4,14 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -25,11 +26,20 @@
 	headerSlackBytes = 4 << 10
 )
 
+// frontendConfig configures a frontend. RequestHeader names the header with a request's id.
+type frontendConfig struct {
+	Handler       http.Handler
+	Limits        func() model.PlanLimits
+	RequestHeader string
+	Meter         *meter.Meter
+	Log           zerolog.Logger
+}
+
 // frontend serves callers' connections. net/http applies its limits when a connection starts, so
 // connections that start after a change of the limits go to a new server.
 type frontend struct {
+	cfg      frontendConfig
 	handler  http.Handler
-	limits   func() model.PlanLimits
 	inFlight atomic.Int64
 	// draining is set once a shutdown has begun: each connection is closed after its next answer.
 	draining atomic.Bool
@@ -57,105 +67,21 @@
 	conns map[net.Conn]*callerConn
 }
 
-// callerConn is a caller's connection.
-type callerConn struct {
-	net.Conn
-
-	mu sync.Mutex
-	// idle is set between requests; since is when it last changed.
-	idle   bool
-	since  time.Time
-	closed bool
-}
-
-type callerConnKey struct{}
-
-// beginRequest marks the connection as busy and reports whether it is still open.
-func (c *callerConn) beginRequest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle = false
-	return !c.closed
-}
-
-// close closes the connection, with onlyIdle set only if no request runs on it. A request that was read
-// meanwhile finds it closed and does not run.
-func (c *callerConn) close(onlyIdle bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if (c.idle || !onlyIdle) && !c.closed {
-		c.closed = true
-		// The caller learns of the end in any case.
-		_ = c.Close()
-	}
-}
-
-// track adds a connection that was just accepted.
-func (g *generation) track(conn net.Conn, now time.Time) *callerConn {
-	c := &callerConn{Conn: conn, since: now}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.conns[c] = c
-	return c
-}
-
-// trackState records whether a connection is idle.
-func (g *generation) trackState(conn net.Conn, s http.ConnState) {
-	g.mu.Lock()
-	c := g.conns[conn]
-	if s == http.StateClosed || s == http.StateHijacked {
-		delete(g.conns, conn)
-	}
-	g.mu.Unlock()
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle, c.since = s == http.StateIdle, time.Now()
-}
-
-// firstRequestTime is how long a new connection may take to send its first request while its entry stops.
-const firstRequestTime = time.Second
-
-func (g *generation) list() []*callerConn {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Collect(maps.Values(g.conns))
-}
-
-// closeAll closes all connections.
-func (g *generation) closeAll() {
-	for _, c := range g.list() {
-		c.close(false)
-	}
-}
-
-// closeIdle closes the idle connections and reports whether requests may still arrive on others, which were
-// opened or got a request just before now.
-func (g *generation) closeIdle(now time.Time) (busy bool) {
-	for _, c := range g.list() {
-		c.close(true)
-		c.mu.Lock()
-		busy = busy || !c.idle && now.Sub(c.since) < firstRequestTime
-		c.mu.Unlock()
-	}
-	return busy
-}
-
-func newFrontend(h http.Handler, limits func() model.PlanLimits) *frontend {
-	f := &frontend{limits: limits, accepted: make(chan struct{})}
+func newFrontend(cfg frontendConfig) *frontend {
+	f := &frontend{cfg: cfg, accepted: make(chan struct{})}
 	f.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.inFlight.Add(1)
 		defer f.inFlight.Add(-1)
-		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && !c.beginRequest() {
-			// The request crossed the closing of its idle connection and must not run.
+		id := r.Header.Get(cfg.RequestHeader)
+		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && !c.beginRequest(id) {
+			cfg.Meter.Count("stop/crossed", 1)
+			cfg.Log.Info().Str("request", id).Msg("forwarder: a request crossed the closing of its idle connection and does not run")
 			panic(http.ErrAbortHandler)
 		}
 		if f.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		h.ServeHTTP(w, r)
+		cfg.Handler.ServeHTTP(w, r)
 	})
 	return f
 }
@@ -194,7 +120,7 @@
 
 // generation returns the server for the current limits and starts a new one if they changed.
 func (f *frontend) generation(addr net.Addr) *generation {
-	limits := f.limits()
+	limits := f.cfg.Limits()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current != nil && f.current.limits == limits {
@@ -249,7 +175,9 @@
 	// http.Server.Shutdown would drop requests that arrive during it, and closing idle connections under it
 	// could cut requests that it has just read.
 	errs = append(errs, f.awaitQuiet(ctx, generations))
+	now := time.Now()
 	for _, g := range generations {
+		g.logOpen(f.cfg, now)
 		g.closeAll()
 		errs = append(errs, g.server.Close())
 	}
--- a/internal/forwarder/frontend_test.go
+++ b/internal/forwarder/frontend_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -22,12 +23,12 @@
 	}
 	var accepted, served atomic.Int64
 	release := make(chan struct{})
-	f := newFrontend(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	f := newFrontend(frontendConfig{Meter: meter.New(), Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		served.Add(1)
 		if r.URL.Path == "/long" {
 			<-release
 		}
-	}), func() model.PlanLimits { return model.PlanLimits{Header: model.Bytes(1000 * accepted.Add(1))} })
+	}), Limits: func() model.PlanLimits { return model.PlanLimits{Header: model.Bytes(1000 * accepted.Add(1))} }})
 	ended := make(chan error, 1)
 	go func() { ended <- f.serve(l) }()
 	dial := func(path string) net.Conn {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -56,7 +56,7 @@
 func (f *Forwarder) runAttempts(ctx context.Context, c *call, w http.ResponseWriter) {
 	c.tried = map[model.BackendID]bool{}
 	out := &answerWriter{w: w}
-	left := false
+	var left error
 	last := model.Refuse(model.KindNoBackend, "no backend server is ready").WithRetry(time.Second)
 	for {
 		now := time.Now()
@@ -83,7 +83,9 @@
 		if fail == nil {
 			return
 		}
-		left = fail.kind == failureLeft && time.Now().Before(c.deadline)
+		if left = nil; fail.kind == failureLeft && time.Now().Before(c.deadline) {
+			left = fail.cause
+		}
 		refusal, retry := f.handleFailure(ctx, c, p, fail)
 		if refusal != nil {
 			last = mergeRefusals(last, refusal)
@@ -92,9 +94,13 @@
 			break
 		}
 	}
-	if left || callerLeft(ctx) {
+	if left == nil && callerLeft(ctx) {
+		left = context.Cause(ctx)
+	}
+	if left != nil {
 		f.cfg.Meter.Count("left/"+string(c.route.Route), 1)
-		f.cfg.Log.Info().Str("request", c.id).Str("last", c.lastEvent).Int("sent", c.sent).Dur("took", time.Since(c.start)).Msg("forwarder: the caller left")
+		f.cfg.Log.Info().Str("request", c.id).Str("last", c.lastEvent).Int("sent", c.sent).Dur("took", time.Since(c.start)).
+			AnErr("cause", left).Bool("stopping", f.isStopping()).Msg("forwarder: the caller left")
 		out.abort()
 	}
 	if c.delivered {
--- a/internal/forwarder/stopping_test.go
+++ b/internal/forwarder/stopping_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -87,14 +88,14 @@
 	}
 	taken, pass := make(chan struct{}), make(chan struct{})
 	var accepted atomic.Int64
-	f := newFrontend(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }), func() model.PlanLimits {
+	f := newFrontend(frontendConfig{Meter: meter.New(), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }), Limits: func() model.PlanLimits {
 		// The limits are read between the acceptance of a connection and its hand-over.
 		if accepted.Add(1) == 2 {
 			close(taken)
 			<-pass
 		}
 		return model.PlanLimits{}
-	})
+	}})
 	ended := make(chan error, 1)
 	go func() { ended <- f.serve(l) }()
 	var c net.Conn
@@ -132,11 +133,11 @@
 			t.Fatal(err)
 		}
 		var began, answered, cut atomic.Int64
-		f := newFrontend(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		f := newFrontend(frontendConfig{Meter: meter.New(), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			began.Add(1)
 			time.Sleep(time.Millisecond)
 			w.WriteHeader(http.StatusOK)
-		}), func() model.PlanLimits { return model.PlanLimits{} })
+		}), Limits: func() model.PlanLimits { return model.PlanLimits{} }})
 		ended := make(chan error, 1)
 		go func() { ended <- f.serve(l) }()
 		var wg sync.WaitGroup
