--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -272,7 +272,11 @@
 	case "unframed":
 		// The body ends with the connection, at the end of the text.
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n%s", id, strings.ReplaceAll(rest, "|", "\n"))
-	case "events", "slowevents", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
+	case "late":
+		time.Sleep(minHeadTimeout + 500*time.Millisecond)
+		fmt.Fprint(c, answer(req, "", "answer"))
+		return true
+	case "events", "slowevents", "pause", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
 		return b.stream(c, r, id, word, rest)
 	default:
 		b.t.Errorf("unknown reply %q", reply)
@@ -301,6 +305,9 @@
 		if word == "slowevents" && n > from {
 			time.Sleep(minSilenceLimit * 3 / 4)
 		}
+		if word == "pause" && n == from+1 {
+			time.Sleep(minSilenceLimit + 500*time.Millisecond)
+		}
 		padding := ""
 		if word == "bigevents" {
 			padding = strings.Repeat("x", 512<<10)
@@ -308,7 +315,7 @@
 		chunk(fmt.Sprintf("id: %d\ndata: %d%s\n\n", n, n, padding))
 	}
 	switch word {
-	case "events", "slowevents", "bigevents":
+	case "events", "slowevents", "pause", "bigevents":
 		fmt.Fprint(c, "0\r\n\r\n")
 		return true
 	case "comments", "drip":
--- /dev/null
+++ b/internal/forwarder/stop_test.go
@@ -0,0 +1,243 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
+
+const (
+	// smallBuffer is the receive buffer in bytes of a caller that reads late.
+	smallBuffer = 4 << 10
+	// largeAnswer is the size in bytes of an answer that the entry's send buffer holds and smallBuffer does not.
+	largeAnswer = 48 << 10
+	// lateRead is how long such a caller waits before it reads.
+	lateRead = 500 * time.Millisecond
+)
+
+// runningFrontend is a frontend that serves a handler.
+type runningFrontend struct {
+	*frontend
+	t       *testing.T
+	address string
+	served  chan error
+}
+
+// startFrontend serves the handler on a new address, on connections that wrap changes.
+func startFrontend(t *testing.T, wrap func(net.Conn) net.Conn, h http.HandlerFunc) *runningFrontend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &runningFrontend{t: t, address: l.Addr().String(), served: make(chan error, 1)}
+	f.frontend = newFrontend(frontendConfig{Handler: h, Limits: func() model.PlanLimits { return model.PlanLimits{} }, Meter: meter.New()})
+	go func() { f.served <- f.serve(wrappingListener{l, wrap}) }()
+	return f
+}
+
+// dial opens a connection with a small receive buffer.
+func (f *runningFrontend) dial() net.Conn {
+	f.t.Helper()
+	d := net.Dialer{Control: func(_, _ string, rc syscall.RawConn) error {
+		return rc.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, smallBuffer) })
+	}}
+	c, err := d.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// startStop begins a shutdown that ends after at most three seconds.
+func (f *runningFrontend) startStop() <-chan error {
+	done := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(f.t.Context(), 3*time.Second)
+	go func() {
+		defer cancel()
+		done <- f.shutdown(ctx)
+	}()
+	return done
+}
+
+func (f *runningFrontend) awaitStop(done <-chan error) {
+	f.t.Helper()
+	if err := <-done; err != nil {
+		f.t.Error(err)
+	}
+	if err := <-f.served; err != nil {
+		f.t.Error(err)
+	}
+}
+
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil || l.wrap == nil {
+		return c, err
+	}
+	return l.wrap(c), nil
+}
+
+// heldConn holds writes back while hold is set.
+type heldConn struct {
+	*net.TCPConn
+	hold *atomic.Bool
+}
+
+func (c heldConn) Write(b []byte) (int, error) {
+	for c.hold.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return c.TCPConn.Write(b)
+}
+
+// readWhole reads an answer and returns the length of its body, or the error that ended it.
+func readWhole(c io.Reader) (int, error) {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return len(b), err
+}
+
+// TestStopClosesConnectionBeforeAnswerIsFlushed: the handler has returned, but its caller has yet to take the answer.
+func TestStopClosesConnectionBeforeAnswerIsFlushed(t *testing.T) {
+	t.Parallel()
+	var hold atomic.Bool
+	returned := make(chan struct{})
+	f := startFrontend(t, func(c net.Conn) net.Conn { return heldConn{c.(*net.TCPConn), &hold} }, func(w http.ResponseWriter, _ *http.Request) {
+		// A connection that got a request just before is left open in any case.
+		time.Sleep(firstRequestTime + 100*time.Millisecond)
+		hold.Store(true)
+		fmt.Fprint(w, "answer")
+		close(returned)
+	})
+	c := f.dial()
+	fmt.Fprint(c, "POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	<-returned
+	done := f.startStop()
+	time.Sleep(5 * quietCheckInterval)
+	hold.Store(false)
+	if n, err := readWhole(c); err != nil || n != len("answer") {
+		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
+	}
+	c.Close()
+	f.awaitStop(done)
+}
+
+// TestUnreadBytesResetAnswer: the caller has sent more bytes when the entry closes its connection after an answer.
+func TestUnreadBytesResetAnswer(t *testing.T) {
+	t.Parallel()
+	running, sent := make(chan struct{}), make(chan struct{})
+	f := startFrontend(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-sent
+		w.Header().Set("Connection", "close")
+		fmt.Fprint(w, strings.Repeat("x", largeAnswer))
+	})
+	c := f.dial()
+	const request = "POST /a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody"
+	fmt.Fprint(c, request)
+	<-running
+	fmt.Fprint(c, request)
+	close(sent)
+	time.Sleep(lateRead)
+	if n, err := readWhole(c); err != nil || n != largeAnswer {
+		t.Errorf("the caller got %d of %d bytes: %v", n, largeAnswer, err)
+	}
+	c.Close()
+	f.awaitStop(f.startStop())
+}
+
+// TestStopEndsBeforeAnswerArrived: what is in the send buffers is lost if the machine goes away with the process.
+func TestStopEndsBeforeAnswerArrived(t *testing.T) {
+	t.Parallel()
+	returned := make(chan struct{})
+	f := startFrontend(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, strings.Repeat("x", largeAnswer))
+		close(returned)
+	})
+	c := f.dial()
+	fmt.Fprint(c, "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	<-returned
+	done := f.startStop()
+	select {
+	case <-done:
+		t.Error("the stop was over before the caller had its answer")
+		return
+	case <-time.After(firstRequestTime + lateRead):
+	}
+	if n, err := readWhole(c); err != nil || n != largeAnswer {
+		t.Errorf("the caller got %d of %d bytes: %v", n, largeAnswer, err)
+	}
+	f.awaitStop(done)
+}
+
+// TestStopClosesConnectionMidHead: the head of a request that its caller sends slowly arrives during a stop.
+func TestStopClosesConnectionMidHead(t *testing.T) {
+	t.Parallel()
+	f := startFrontend(t, nil, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") })
+	c := f.dial()
+	fmt.Fprint(c, "GET /a HTTP/1.1\r\nHost: a.ex")
+	time.Sleep(50 * time.Millisecond)
+	done := f.startStop()
+	time.Sleep(firstRequestTime + lateRead)
+	fmt.Fprint(c, "ample\r\n\r\n")
+	if n, err := readWhole(c); err != nil || n != len("answer") {
+		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
+	}
+	c.Close()
+	f.awaitStop(done)
+}
+
+// TestStopCutsRequestWithoutAnswer: a request that still runs at the end of the grace period, and of whose answer
+// nothing was forwarded, gets a refusal that does not promise that it did not run.
+func TestStopCutsRequestWithoutAnswer(t *testing.T) {
+	t.Parallel()
+	b := &backends{t: t, replies: []string{"silent"}}
+	plan := testPlan()
+	for i := range plan.Routes {
+		plan.Routes[i].Timeout = 10 * time.Second
+	}
+	e := startEntry(t, &fakeState{plan: plan, servers: b.start(1)})
+	c, err := net.Dial("tcp", e.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /never/a HTTP/1.1\r\nHost: a.example\r\nId: request-1\r\nAuthorization: Key good\r\nContent-Length: 4\r\n\r\nbody")
+	for len(b.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.stop()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("the request got no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	if diff := cmp.Diff(http.StatusBadGateway, resp.StatusCode); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+}
--- a/internal/forwarder/stopping_test.go
+++ b/internal/forwarder/stopping_test.go
@@ -30,8 +30,12 @@
 		Arrivals int
 	}
 	type stoppingCase struct {
-		Name    string
-		Length  int
+		Name string
+		// Length is the caller's estimate of the answer's length in tokens; Most is the most that it allows, 0 if it
+		// does not say.
+		Length, Most int
+		// Limit is the caller's time limit in milliseconds, 0 for none.
+		Limit   int
 		Replies []string
 		Result  `yaml:",inline"`
 	}
@@ -58,6 +62,12 @@
 			r.Header.Set("Id", "request-1")
 			r.Header.Set("Authorization", "Key good")
 			r.Header.Set("Length", fmt.Sprint(c.Length))
+			if c.Most > 0 {
+				r.Header.Set("Usage", fmt.Sprint("100,", c.Most))
+			}
+			if c.Limit > 0 {
+				r.Header.Set("Time-Left", fmt.Sprint(c.Limit))
+			}
 			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 )
 
 // TestLateCopy checks that a copy of an answer which arrives while its connection is in use again does not
@@ -80,6 +82,49 @@
 	}
 }
 
+// TestSilenceEndsAnswerWithoutAlternative checks that a pause of a backend server ends its answer only where another
+// attempt may give the caller the rest.
+func TestSilenceEndsAnswerWithoutAlternative(t *testing.T) {
+	type Result struct {
+		Status   int
+		Body     string
+		Arrivals int
+	}
+	type silenceCase struct {
+		Name, Path        string
+		Attempts, Servers int
+		Replies           []string
+		Result            `yaml:",inline"`
+	}
+	for _, c := range tester.Load[silenceCase](t, "silences.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			b := &backends{t: t, replies: c.Replies}
+			plan := testPlan()
+			for i := range plan.Routes {
+				plan.Routes[i].Timeout, plan.Routes[i].Attempts = 10*time.Second, c.Attempts
+			}
+			e := startEntry(t, &fakeState{plan: plan, servers: b.start(c.Servers)})
+			resp := e.post(t, c.Path, "body")
+			body, err := io.ReadAll(resp.Body)
+			if err != nil {
+				t.Error(err)
+			}
+			got := Result{Status: resp.StatusCode, Body: string(body), Arrivals: len(b.seen())}
+			if events := eventData.FindAllStringSubmatch(string(body), -1); len(events) > 0 {
+				var data []string
+				for _, m := range events {
+					data = append(data, m[1])
+				}
+				got.Body = strings.Join(data, " ")
+			}
+			if diff := cmp.Diff(c.Result, got); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestSlowCaller checks that a stream is not taken for silent while its caller does not read: the time of writing
 // to the caller is no silence of the backend server.
 func TestSlowCaller(t *testing.T) {
