Close callers' connections in order and only once their answer is flushed

Callers lost answers, or parts of them, around SIGTERM: the connection ended before the answer did. Cause: the stop counted handlers. net/http flushes the rest of an answer after its handler has returned, which takes as long as the caller takes to read; a connection whose request was over a second old was closed meanwhile, and so was one whose next request's head was still arriving. Closing a connection with unread bytes resets it, at any time, and the reset drops what the caller has yet to receive. And the process could end while answers were in its send buffers, which are lost where the machine goes away with it. Change: a stop waits for connections, not handlers. A connection is closed once net/http says that it is idle, which comes after the flush, and no byte of a next request has arrived. Closing ends the entry's side first, reads on, and releases the connection once the caller has closed its side, or has everything and a second has passed. Requests that arrive on a closing connection are logged with their id and do not run, as before.

--- a/internal/forwarder/callers.go
+++ b/internal/forwarder/callers.go
@@ -1,113 +1,248 @@
 package forwarder
 
 import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// firstRequestTime is how long a new connection may take to send its first byte while its entry stops.
+	firstRequestTime = time.Second
+	// lingerTime is how long a caller that has received everything may take to close its side of a connection, and
+	// maxLinger how long one may take in all.
+	lingerTime = time.Second
+	maxLinger  = 10 * time.Second
+	// crossedBytes is how much is kept of a request that crossed the closing of its connection, to log its id.
+	crossedBytes = 4 << 10
 )
 
-// callerConn is a caller's connection.
+// callerConn is a caller's connection. Close ends only the entry's side; the connection is released once the caller has
+// closed its side as well. Closing both at once resets the connection if the caller has sent more bytes, and the reset
+// drops what the caller has not received yet.
 type callerConn struct {
 	net.Conn
+	cfg frontendConfig
+	// released is called once the connection is closed on both sides.
+	released func(*callerConn)
+
+	// reading is held during a read.
+	reading sync.Mutex
 
 	mu sync.Mutex
-	// state is what net/http last said of the connection; since is when it changed.
+	// state is what net/http last said of the connection; since is when it changed. net/http says idle only after it
+	// has flushed the answer, and active only after it has read the head of the request.
 	state http.ConnState
 	since time.Time
+	// receiving is set once bytes have arrived in the state.
+	receiving bool
 	// request is the id of the last request.
 	request string
-	closed  bool
+	closing bool
 }
 
 type callerConnKey struct{}
 
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing && n == 0 {
+		return 0, net.ErrClosed
+	}
+	c.receiving = c.receiving || n > 0
+	return n, err
+}
+
+func (c *callerConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// SetReadDeadline implements net.Conn. While the connection is closing, the deadline is not net/http's to set.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked closes the entry's side; c.mu is held.
+func (c *callerConn) closeLocked() error {
+	if c.closing {
+		return nil
+	}
+	c.closing = true
+	// A read of net/http that waits must end, since the rest is read here.
+	err := c.Conn.SetReadDeadline(time.Unix(1, 0))
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil {
+		err = w.CloseWrite()
+	}
+	if err != nil {
+		defer c.released(c)
+		return errors.Join(err, c.Conn.Close())
+	}
+	go c.linger(c.state == http.StateIdle)
+	return nil
+}
+
+// linger reads what the caller still sends and closes the connection when it may. Bytes that follow the closing of an
+// idle connection are a request that crossed it.
+func (c *callerConn) linger(idle bool) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	defer c.released(c)
+	var crossed bytes.Buffer
+	b := make([]byte, crossedBytes)
+	start := time.Now()
+	for {
+		// An error means that the connection is closed, which the read reports as well.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		n, err := c.Conn.Read(b)
+		crossed.Write(b[:min(n, crossedBytes-crossed.Len())])
+		if isLingerOver(err, unacknowledged(c.Conn), time.Since(start)) {
+			break
+		}
+		if errors.Is(err, io.EOF) {
+			time.Sleep(quietCheckInterval)
+		}
+	}
+	_ = c.Conn.Close()
+	if r, err := http.ReadRequest(bufio.NewReader(&crossed)); idle && err == nil {
+		c.logCrossed(r.Header.Get(c.cfg.RequestHeader))
+	}
+}
+
+// isLingerOver reports whether a connection whose own side is closed may be closed on both: the caller has closed its
+// side or is out of time, and its host has all that was sent. Err is the result of the last read.
+func isLingerOver(err error, unacknowledged int, took time.Duration) bool {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case took >= maxLinger:
+		return true
+	case err == nil:
+		return false
+	case errors.Is(err, io.EOF), errors.As(err, &timeout) && timeout.Timeout():
+		return unacknowledged == 0
+	}
+	return true
+}
+
+// unacknowledged returns how many bytes the peer's host has not confirmed yet, or 0 if that cannot be known.
+func unacknowledged(c net.Conn) int {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = rc.Control(func(fd uintptr) {
+		if n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err != nil {
+			n = 0
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // beginRequest marks the connection as busy with a request and reports whether it is still open.
 func (c *callerConn) beginRequest(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.request = http.StateActive, id
-	return !c.closed
+	return !c.closing
+}
+
+func (c *callerConn) logCrossed(id string) {
+	c.cfg.Meter.Count("stop/crossed", 1)
+	c.cfg.Log.Info().Str("request", id).Str("caller", c.RemoteAddr().String()).
+		Msg("forwarder: a request crossed the closing of its idle connection and does not run")
 }
 
-// close closes the connection, with onlyIdle set only if no request runs on it. A request that was read
-// meanwhile finds it closed and does not run.
-func (c *callerConn) close(onlyIdle bool) {
+// closeIfQuiet closes the connection if its last answer is flushed and no request is under way on it.
+func (c *callerConn) closeIfQuiet(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (c.state == http.StateIdle || !onlyIdle) && !c.closed {
-		c.closed = true
+	if !c.receiving && (c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) >= firstRequestTime) {
 		// The caller learns of the end in any case.
-		_ = c.Close()
+		_ = c.closeLocked()
+	}
+}
+
+// cut closes the connection at the end of a stop, whatever runs on it.
+func (c *callerConn) cut(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.state.String()
+	if c.closing {
+		state = "closing"
 	}
+	c.closing = true
+	c.cfg.Meter.Count("stop/open/"+state, 1)
+	c.cfg.Log.Warn().Str("request", c.request).Str("state", state).Dur("age", now.Sub(c.since)).Int("unsent", unacknowledged(c.Conn)).
+		Str("caller", c.RemoteAddr().String()).Msg("forwarder: the stop closes a connection that is not idle")
+	_ = c.Conn.Close()
 }
 
 // track adds a connection that was just accepted.
 func (g *generation) track(conn net.Conn, now time.Time) *callerConn {
-	c := &callerConn{Conn: conn, since: now}
+	c := &callerConn{Conn: conn, cfg: g.cfg, since: now, released: g.release}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.conns[c] = c
+	g.conns[c] = true
 	return c
 }
 
-// trackState records whether a connection is idle.
-func (g *generation) trackState(conn net.Conn, s http.ConnState) {
+func (g *generation) release(c *callerConn) {
 	g.mu.Lock()
-	c := g.conns[conn]
-	if s == http.StateClosed || s == http.StateHijacked {
-		delete(g.conns, conn)
-	}
-	g.mu.Unlock()
-	if c == nil {
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
+
+// trackState records what net/http says of a connection.
+func trackState(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = s, time.Now()
+	c.state, c.since, c.receiving = s, time.Now(), false
 }
 
-// firstRequestTime is how long a new connection may take to send its first request while its entry stops.
-const firstRequestTime = time.Second
-
 func (g *generation) list() []*callerConn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.Collect(maps.Values(g.conns))
-}
-
-// logOpen logs the connections that the end of a stop closes although a request runs on them or may come.
-func (g *generation) logOpen(cfg frontendConfig, now time.Time) {
-	for _, c := range g.list() {
-		c.mu.Lock()
-		state, since, id, closed := c.state, c.since, c.request, c.closed
-		c.mu.Unlock()
-		if closed {
-			continue
-		}
-		cfg.Meter.Count("stop/open/"+state.String(), 1)
-		cfg.Log.Warn().Str("request", id).Str("state", state.String()).Dur("age", now.Sub(since)).Str("caller", c.RemoteAddr().String()).
-			Msg("forwarder: the stop closes a connection that is not idle")
-	}
-}
-
-// closeAll closes all connections.
-func (g *generation) closeAll() {
-	for _, c := range g.list() {
-		c.close(false)
-	}
-}
-
-// closeIdle closes the idle connections and reports whether requests may still arrive on others, which were
-// opened or got a request just before now.
-func (g *generation) closeIdle(now time.Time) (busy bool) {
-	for _, c := range g.list() {
-		c.close(true)
-		c.mu.Lock()
-		busy = busy || c.state != http.StateIdle && now.Sub(c.since) < firstRequestTime
-		c.mu.Unlock()
-	}
-	return busy
+	return slices.Collect(maps.Keys(g.conns))
 }
--- a/internal/forwarder/frontend.go
+++ b/internal/forwarder/frontend.go
@@ -55,6 +55,7 @@
 
 // generation is a server with fixed limits; accepted connections are passed to it.
 type generation struct {
+	cfg    frontendConfig
 	server *http.Server
 	limits model.PlanLimits
 	// accepts passes accepted connections to the server.
@@ -63,8 +64,9 @@
 	addr    net.Addr
 	once    sync.Once
 
-	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
+	mu sync.Mutex
+	// conns holds the connections that are not closed on both sides.
+	conns map[*callerConn]bool
 }
 
 func newFrontend(cfg frontendConfig) *frontend {
@@ -74,8 +76,7 @@
 		defer f.inFlight.Add(-1)
 		id := r.Header.Get(cfg.RequestHeader)
 		if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && !c.beginRequest(id) {
-			cfg.Meter.Count("stop/crossed", 1)
-			cfg.Log.Info().Str("request", id).Msg("forwarder: a request crossed the closing of its idle connection and does not run")
+			c.logCrossed(id)
 			panic(http.ErrAbortHandler)
 		}
 		if f.draining.Load() {
@@ -110,10 +111,12 @@
 			continue
 		}
 		g := f.generation(l.Addr())
+		c := g.track(conn, time.Now())
 		select {
-		case g.accepts <- g.track(conn, time.Now()):
+		case g.accepts <- c:
 		case <-g.done:
-			conn.Close()
+			// The entry has stopped.
+			_ = c.Close()
 		}
 	}
 }
@@ -126,13 +129,13 @@
 	if f.current != nil && f.current.limits == limits {
 		return f.current
 	}
-	g := &generation{limits: limits, accepts: make(chan net.Conn), done: make(chan struct{}), addr: addr, conns: map[net.Conn]*callerConn{}}
+	g := &generation{cfg: f.cfg, limits: limits, accepts: make(chan net.Conn), done: make(chan struct{}), addr: addr, conns: map[*callerConn]bool{}}
 	g.server = &http.Server{
 		Handler:           f.handler,
 		MaxHeaderBytes:    orDefault(int(limits.Header), defaultHeaderBytes) + headerSlackBytes,
 		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
-		ConnState:         g.trackState,
+		ConnState:         trackState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerConnKey{}, c)
 		},
@@ -153,8 +156,9 @@
 	return v
 }
 
-// shutdown stops accepting, closes idle connections and waits for requests. Connections that were accepted
-// before are served first: their callers may have sent a request already.
+// shutdown stops accepting, closes connections once they are idle and waits until all are closed. It returns an error
+// if some had to be cut when ctx ended. Connections that were accepted before are served first: their callers may have
+// sent a request already.
 func (f *frontend) shutdown(ctx context.Context) error {
 	f.mu.Lock()
 	f.closed = true
@@ -174,36 +178,40 @@
 	f.mu.Unlock()
 	// http.Server.Shutdown would drop requests that arrive during it, and closing idle connections under it
 	// could cut requests that it has just read.
-	errs = append(errs, f.awaitQuiet(ctx, generations))
+	errs = append(errs, awaitClosed(ctx, generations))
 	now := time.Now()
 	for _, g := range generations {
-		g.logOpen(f.cfg, now)
-		g.closeAll()
+		for _, c := range g.list() {
+			c.cut(now)
+		}
 		errs = append(errs, g.server.Close())
 	}
 	return errors.Join(errs...)
 }
 
-// quietCheckInterval is how often a shutdown checks whether requests still run.
+// quietCheckInterval is how often a shutdown checks which connections are idle.
 const quietCheckInterval = 20 * time.Millisecond
 
-// awaitQuiet closes idle connections of all generations until no request runs. It returns an error if some
-// still run when ctx ends.
-func (f *frontend) awaitQuiet(ctx context.Context, generations []*generation) error {
+// awaitClosed closes the connections of all generations as they become idle, until none is left. It returns an error
+// if some are left when ctx ends.
+func awaitClosed(ctx context.Context, generations []*generation) error {
 	t := time.NewTicker(quietCheckInterval)
 	defer t.Stop()
 	now := time.Now()
 	for {
-		busy := false
+		open := 0
 		for _, g := range generations {
-			busy = g.closeIdle(now) || busy
+			for _, c := range g.list() {
+				open++
+				c.closeIfQuiet(now)
+			}
 		}
-		if !busy && f.inFlight.Load() == 0 {
+		if open == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("wait for %d requests: %w", f.inFlight.Load(), ctx.Err())
+			return fmt.Errorf("wait for %d connections: %w", open, ctx.Err())
 		case now = <-t.C:
 		}
 	}
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -241,3 +243,19 @@
 		t.Errorf("status (-want +got):\n%s", diff)
 	}
 }
+
+// TestLinger checks when a connection that is closed on the entry's side may be released.
+func TestLinger(t *testing.T) {
+	type lingerCase struct {
+		Name, Read     string
+		Unacknowledged int
+		Took           time.Duration
+		Over           bool
+	}
+	results := map[string]error{"eof": io.EOF, "timeout": os.ErrDeadlineExceeded, "reset": syscall.ECONNRESET, "bytes": nil}
+	for _, c := range tester.Load[lingerCase](t, "lingers.yaml") {
+		if diff := cmp.Diff(c.Over, isLingerOver(results[c.Read], c.Unacknowledged, c.Took)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.Name, diff)
+		}
+	}
+}
