Do not close idle connections on which the next request has arrived

Cause: a stop closed connections that net/http had not read from yet; a busy entry has many such. Change: a connection with unread bytes stays open until its request is answered. The check is the one that connections to backend servers had; it no longer waits for a read that is under way. Measured: TestStopDropsRequestInSocket failed before (three of three, unexpected EOF), and passes with -race.

--- a/internal/forwarder/callers.go
+++ b/internal/forwarder/callers.go
@@ -176,6 +176,12 @@
 	return n
 }
 
+// hasUnread reports whether bytes wait in the socket.
+func hasUnread(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
 // beginRequest marks the connection as busy with a request and reports whether it is still open.
 func (c *callerConn) beginRequest(id string) bool {
 	c.mu.Lock()
@@ -194,7 +200,10 @@
 func (c *callerConn) closeIfQuiet(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.receiving && (c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) >= firstRequestTime) {
+	if c.receiving || hasUnread(c.Conn) {
+		return
+	}
+	if c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) >= firstRequestTime {
 		// The caller learns of the end in any case.
 		_ = c.closeLocked()
 	}
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -105,22 +105,31 @@
 
 // isOpenAndQuiet reports whether the peer has neither closed the connection nor sent unsolicited bytes.
 func (c *conn) isOpenAndQuiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.r.Buffered() > 0 {
+	if c.r.Buffered() > 0 {
 		return false
 	}
+	_, err := peek(c.Conn)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peek returns how many bytes wait in the socket, at most one, without reading them. It returns EAGAIN if there are
+// none, and no error and 0 if the peer has closed its side.
+func peek(c net.Conn) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
 	var b [1]byte
-	err = rc.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	// Unlike Read, Control does not wait for a read that is under way.
+	controlErr := rc.Control(func(fd uintptr) { n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
 
 // close closes the connection and ignores the error, because the connection is discarded.
--- a/internal/forwarder/stop_test.go
+++ b/internal/forwarder/stop_test.go
@@ -100,19 +100,26 @@
 	return l.wrap(c), nil
 }
 
-// heldConn holds writes back while hold is set.
+// heldConn holds writes and reads back while the switches are set.
 type heldConn struct {
 	*net.TCPConn
-	hold *atomic.Bool
+	writes, reads *atomic.Bool
 }
 
 func (c heldConn) Write(b []byte) (int, error) {
-	for c.hold.Load() {
+	for c.writes.Load() {
 		time.Sleep(time.Millisecond)
 	}
 	return c.TCPConn.Write(b)
 }
 
+func (c heldConn) Read(b []byte) (int, error) {
+	for c.reads.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return c.TCPConn.Read(b)
+}
+
 // readWhole reads an answer and returns the length of its body, or the error that ended it.
 func readWhole(c io.Reader) (int, error) {
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -129,7 +136,7 @@
 	t.Parallel()
 	var hold atomic.Bool
 	returned := make(chan struct{})
-	f := startFrontend(t, func(c net.Conn) net.Conn { return heldConn{c.(*net.TCPConn), &hold} }, func(w http.ResponseWriter, _ *http.Request) {
+	f := startFrontend(t, func(c net.Conn) net.Conn { return heldConn{c.(*net.TCPConn), &hold, new(atomic.Bool)} }, func(w http.ResponseWriter, _ *http.Request) {
 		// A connection that got a request just before is left open in any case.
 		time.Sleep(firstRequestTime + 100*time.Millisecond)
 		hold.Store(true)
@@ -197,6 +204,35 @@
 	f.awaitStop(done)
 }
 
+// TestStopDropsRequestInSocket: the next request has arrived on a kept connection, but the entry has not read it yet.
+func TestStopDropsRequestInSocket(t *testing.T) {
+	t.Parallel()
+	var hold atomic.Bool
+	var served atomic.Int64
+	f := startFrontend(t, func(c net.Conn) net.Conn { return heldConn{c.(*net.TCPConn), new(atomic.Bool), &hold} }, func(w http.ResponseWriter, _ *http.Request) {
+		// net/http's read that watches for the caller's leaving has begun by then, and ends with the answer.
+		time.Sleep(50 * time.Millisecond)
+		hold.Store(served.Add(1) == 1)
+		fmt.Fprint(w, "answer")
+	})
+	c := f.dial()
+	const request = "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	fmt.Fprint(c, request)
+	if _, err := readWhole(c); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(c, request)
+	time.Sleep(5 * quietCheckInterval)
+	done := f.startStop()
+	time.Sleep(5 * quietCheckInterval)
+	hold.Store(false)
+	if n, err := readWhole(c); err != nil || n != len("answer") {
+		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
+	}
+	c.Close()
+	f.awaitStop(done)
+}
+
 // TestStopClosesConnectionMidHead: the head of a request that its caller sends slowly arrives during a stop.
 func TestStopClosesConnectionMidHead(t *testing.T) {
 	t.Parallel()
