Answer requests that still run at the end of the grace period

Callers whose request still ran when a stopping entry's time was over saw their connection close, as if the entry had crashed, and could not tell what became of the request. Cause: the stop closed the connections and left it to net/http to end the handlers. Change: 0.1 s before it closes what is left, a stop ends the requests.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,6 +29,8 @@
 	unreadyDelay = 3 * time.Second
 	// exitMargin is how long before the end of the grace period, when the process is killed, shutdown must end.
 	exitMargin = 200 * time.Millisecond
+	// refusalTime is how long before that the requests which still run are ended, so that their refusals arrive.
+	refusalTime = 100 * time.Millisecond
 	// bodyMemoryDivisor limits request bodies to the configured memory divided by it.
 	bodyMemoryDivisor = 4
 )
@@ -119,8 +121,14 @@
 	reserved    map[string]bool
 	// cutAt is when the requests that still run are cut because the entry stops; nil while it does not stop.
 	cutAt atomic.Pointer[time.Time]
+	// running ends, with the cause errCut, when these requests are cut; cut ends it.
+	running context.Context
+	cut     context.CancelCauseFunc
 }
 
+// errCut is why a request ends that still runs at the end of its entry's grace period.
+var errCut = errors.New("the entry's grace period is over")
+
 // New returns a forwarder; Run starts it.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
@@ -132,6 +140,7 @@
 		bodies:      semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyMemoryDivisor),
 		reserved:    map[string]bool{},
 	}
+	f.running, f.cut = context.WithCancelCause(context.Background())
 	for _, name := range cfg.Names.Reserved {
 		f.reserved[http.CanonicalHeaderKey(name)] = true
 	}
@@ -193,12 +202,14 @@
 
 func (f *Forwarder) gracefulStop(frontend *frontend) {
 	start := time.Now()
-	cutAt := start.Add(f.cfg.Settings.Grace - exitMargin)
+	exitAt := start.Add(f.cfg.Settings.Grace - exitMargin)
+	cutAt := exitAt.Add(-refusalTime)
 	f.cutAt.Store(&cutAt)
+	defer time.AfterFunc(time.Until(cutAt), func() { f.cut(errCut) }).Stop()
 	f.cfg.Log.Info().Int64("running", frontend.inFlight.Load()).Msg("forwarder: shutting down, no longer ready")
 	delay := min(unreadyDelay, f.cfg.Settings.Grace/2)
 	time.Sleep(delay)
-	ctx, cancel := context.WithDeadline(context.Background(), cutAt)
+	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
 	defer cancel()
 	if err := frontend.shutdown(ctx); err != nil {
 		f.cfg.Log.Warn().Err(err).Int64("running", frontend.inFlight.Load()).Msg("forwarder: grace period ended while requests were in flight")
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -312,4 +312,7 @@
 }
 
 // callerLeft reports whether the context ended because the caller disconnected.
-func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) && !isCut(ctx) }
+
+// isCut reports whether the context ended because the entry's grace period is over.
+func isCut(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCut) }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -46,12 +46,25 @@
 		f.refuse(w, c, refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := f.requestContext(r.Context(), c.deadline)
 	defer cancel()
 	f.retryBudget.CountRequest(c.service.Service, now)
 	f.runAttempts(ctx, c, w)
 }
 
+// requestContext returns a context that ends when the caller leaves, at the deadline, or when the entry's stop cuts the
+// requests that still run.
+func (f *Forwarder) requestContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(f.running, func() { cancel(context.Cause(f.running)) })
+	ctx, cancelDeadline := context.WithDeadline(ctx, deadline)
+	return ctx, func() {
+		stop()
+		cancelDeadline()
+		cancel(nil)
+	}
+}
+
 // runAttempts sends the request to backend servers until an answer is delivered, or refuses it.
 func (f *Forwarder) runAttempts(ctx context.Context, c *call, w http.ResponseWriter) {
 	c.tried = map[model.BackendID]bool{}
@@ -83,7 +96,7 @@
 		if fail == nil {
 			return
 		}
-		if left = nil; fail.kind == failureLeft && time.Now().Before(c.deadline) {
+		if left = nil; fail.kind == failureLeft && time.Now().Before(c.deadline) && !isCut(ctx) {
 			left = fail.cause
 		}
 		refusal, retry := f.handleFailure(ctx, c, p, fail)
@@ -187,6 +200,11 @@
 		run = model.RunUnknown
 	}
 	switch {
+	case isCut(ctx):
+		if c.sent > 0 {
+			run = model.RunUnknown
+		}
+		return model.Refuse(model.KindLeaving, "the entry stopped before the answer was complete").WithRun(run).WithRetry(stoppingRetry)
 	case ctx.Err() != nil && c.sent > 0, fail.kind == failureSilent && !time.Now().Before(c.deadline):
 		return model.Refuse(model.KindDeadline, "no answer came in time: allow more time").WithRun(model.RunUnknown)
 	case fail.kind == failureNotRun || fail.kind == failureMisdirected || fail.kind == failureUnreached:
