Wait for a silent backend server unless another may answer

Cause: the limits on silence assumed that another attempt was possible. Change: when such a limit passes, the attempt ends only if the request may be sent to another backend server that is not barred and whose breaker is closed, within attempts and retry budget. Otherwise the connection is read on, and the question asked again each second, until the request's time is over. A dead peer still shows by TCP keep-alive.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -20,7 +20,7 @@
 	minRetry = 200 * time.Millisecond
 	// bufferedBodyBytes is the size up to which an answer is read completely before any of it is forwarded.
 	bufferedBodyBytes = 256 << 10
-	// minSilenceLimit is the shortest silence after which a stream is resumed on another backend server.
+	// minSilenceLimit is the shortest silence after which a stream is resumed on another backend server, if one may.
 	minSilenceLimit = 2 * time.Second
 	// silenceGapFactor is the tolerated silence as a multiple of the gap between events that the route allows.
 	silenceGapFactor = 2
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -62,6 +63,8 @@
 	r      *bufio.Reader
 	limit  *headLimit
 	reused bool
+	// extend is called when a read deadline passes. It reports whether it has set a later one, for which the read waits.
+	extend func() bool
 	// idleSince is when the connection became idle, usableUntil is when reuse ends.
 	idleSince, usableUntil time.Time
 }
@@ -85,8 +88,20 @@
 	if err != nil {
 		return nil, err
 	}
-	limit := &headLimit{r: c}
-	return &conn{Conn: c, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}, nil
+	out := &conn{Conn: c}
+	out.limit = &headLimit{r: out}
+	out.r = bufio.NewReaderSize(out.limit, readBufferBytes)
+	return out, nil
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extend == nil || !c.extend() {
+			return n, err
+		}
+	}
 }
 
 // readResponse reads the head of an answer to a request with the method.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -103,6 +103,7 @@
 	if until.After(c.deadline) {
 		until = c.deadline
 	}
+	cn.extend = func() bool { return f.extendWait(c, cn, p, time.Now()) }
 	if err := cn.SetReadDeadline(until); err != nil {
 		rep.closeConn()
 		return nil, &failure{kind: failureBroken, cause: err}
@@ -318,7 +319,7 @@
 		r.conn.close()
 		return
 	}
-	r.conn.idleSince, r.conn.usableUntil = now, now.Add(keep)
+	r.conn.idleSince, r.conn.usableUntil, r.conn.extend = now, now.Add(keep), nil
 	r.peer.putIdleConn(r.conn)
 }
 
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -219,6 +219,13 @@
 	p.running, p.waiting, p.reportedAt, p.sentSinceReport, p.doneSinceReport = r, w, now, 0, 0
 }
 
+// isBroken reports whether the peer's breaker is open.
+func (p *peer) isBroken(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.breaker.IsOpen(now)
+}
+
 func (p *peer) succeeded() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -61,6 +61,8 @@
 	// needsNewConn requests a new connection after an idle one was dropped; redialled is set once the
 	// request was sent to the same backend server again for that reason.
 	needsNewConn, redialled bool
+	// outwaited is set once an attempt went on for longer than a backend server may be silent.
+	outwaited bool
 	// attemptStart is when the current attempt started.
 	attemptStart time.Time
 	attempt      *attempt
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -223,12 +223,8 @@
 	return later
 }
 
-// headTimeout returns how long an attempt may wait for the head of its answer. It is shorter than the time
-// left only while another attempt is possible.
+// headTimeout returns how long an attempt may wait for the head of its answer if another attempt is possible then.
 func (f *Forwarder) headTimeout(c *call) time.Duration {
-	if !isRetryable(c) || c.sent+1 >= c.route.Attempts {
-		return time.Until(c.deadline)
-	}
 	if c.service.Engine != nil {
 		return engineHeadTimeoutTargets * c.route.LatencyTarget
 	}
