Take late requests of a stop only if they cannot outlast it

Cause: the entry believed the caller's estimate of the answer's length, which is often far too low. Only streams sent in the first three seconds are unavoidable: their callers might come back to the same entry. Change: once the listener is closed, and callers who return reach another entry, a stream is taken only if the most tokens that its caller allows, or its time limit, fit into the time left; without either it is refused at once, not run. A request whose time limit ends before the stop is taken in any case. The times of a stop are one struct.

--- a/internal/admitter/stopping.go
+++ b/internal/admitter/stopping.go
@@ -9,10 +9,29 @@
 // UsableTime returns the part of the time until an entry's end that may be planned for requests.
 func UsableTime(remaining time.Duration) time.Duration { return remaining / stoppingSafety }
 
-// FinishesBeforeStop reports whether an entry that stops can be expected to finish a request that is not
-// sent yet. Remaining is the time until the entry cuts what still runs, expected the time to the end of the
-// request's answer. It is made for rolling restarts under load: answers may take as long as the grace
-// period, and another entry can serve a request that was refused before it ran.
-func FinishesBeforeStop(remaining, expected time.Duration) bool {
-	return expected <= UsableTime(remaining)
+// StopInput describes a request that is not sent yet, at an entry that stops.
+type StopInput struct {
+	// Remaining is the time until the entry cuts what still runs.
+	Remaining time.Duration
+	// Expected is the time to the end of the request's answer, Longest that of the longest answer that the caller allows,
+	// and Limit the time until the caller's time limit, which ends the request in any case.
+	Expected, Longest, Limit time.Duration
+	// Elsewhere means that a caller who returns reaches another entry, since the load balancer has left this one out.
+	Elsewhere bool
+}
+
+// FinishesBeforeStop reports whether an entry that stops is to take a request. It is made for rolling restarts under
+// load: answers may take as long as the grace period, and another entry can serve a request that was refused before it
+// ran. As long as callers may come back to the same entry, the estimate decides; afterwards only what cannot be cut is
+// taken, since estimates of callers are often far too low.
+func FinishesBeforeStop(in StopInput) bool {
+	switch {
+	case in.Remaining < 0:
+		return false
+	case in.Limit <= in.Remaining:
+		return true
+	case in.Elsewhere && in.Longest > in.Remaining:
+		return false
+	}
+	return in.Expected <= UsableTime(in.Remaining)
 }
--- a/internal/admitter/stopping_test.go
+++ b/internal/admitter/stopping_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	gocmp "github.com/google/go-cmp/cmp"
 
@@ -12,13 +11,13 @@
 // TestFinishesBeforeStop checks from a table which requests an entry still accepts while it stops.
 func TestFinishesBeforeStop(t *testing.T) {
 	type stoppingCase struct {
-		Name                string
-		Remaining, Expected time.Duration
-		Want                bool
+		Name      string
+		StopInput `yaml:",inline"`
+		Want      bool
 	}
 	for _, c := range tester.Load[stoppingCase](t, "stopping.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
-			if diff := gocmp.Diff(c.Want, FinishesBeforeStop(c.Remaining, c.Expected)); diff != "" {
+			if diff := gocmp.Diff(c.Want, FinishesBeforeStop(c.StopInput)); diff != "" {
 				t.Errorf("accepted (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -119,13 +119,25 @@
 	speeds      *speeds
 	bodies      *semaphore.Weighted
 	reserved    map[string]bool
-	// cutAt is when the requests that still run are cut because the entry stops; nil while it does not stop.
-	cutAt atomic.Pointer[time.Time]
+	// stop is nil while the entry does not stop.
+	stop atomic.Pointer[stopPlan]
 	// running ends, with the cause errCut, when these requests are cut; cut ends it.
 	running context.Context
 	cut     context.CancelCauseFunc
 }
 
+// stopPlan holds the times of an entry's stop: when it stops accepting connections, when it ends the requests that still
+// run, and when it closes what is left.
+type stopPlan struct {
+	closeAt, cutAt, exitAt time.Time
+}
+
+// planStop returns the times of a stop that begins at now.
+func planStop(grace time.Duration, now time.Time) stopPlan {
+	exitAt := now.Add(grace - exitMargin)
+	return stopPlan{closeAt: now.Add(min(unreadyDelay, grace/2)), cutAt: exitAt.Add(-refusalTime), exitAt: exitAt}
+}
+
 // errCut is why a request ends that still runs at the end of its entry's grace period.
 var errCut = errors.New("the entry's grace period is over")
 
@@ -202,14 +214,12 @@
 
 func (f *Forwarder) gracefulStop(frontend *frontend) {
 	start := time.Now()
-	exitAt := start.Add(f.cfg.Settings.Grace - exitMargin)
-	cutAt := exitAt.Add(-refusalTime)
-	f.cutAt.Store(&cutAt)
-	defer time.AfterFunc(time.Until(cutAt), func() { f.cut(errCut) }).Stop()
+	p := planStop(f.cfg.Settings.Grace, start)
+	f.stop.Store(&p)
+	defer time.AfterFunc(time.Until(p.cutAt), func() { f.cut(errCut) }).Stop()
 	f.cfg.Log.Info().Int64("running", frontend.inFlight.Load()).Msg("forwarder: shutting down, no longer ready")
-	delay := min(unreadyDelay, f.cfg.Settings.Grace/2)
-	time.Sleep(delay)
-	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
+	time.Sleep(time.Until(p.closeAt))
+	ctx, cancel := context.WithDeadline(context.Background(), p.exitAt)
 	defer cancel()
 	if err := frontend.shutdown(ctx); err != nil {
 		f.cfg.Log.Warn().Err(err).Int64("running", frontend.inFlight.Load()).Msg("forwarder: grace period ended while requests were in flight")
@@ -225,22 +235,24 @@
 	return model.PlanLimits{}
 }
 
-func (f *Forwarder) isStopping() bool { return f.cutAt.Load() != nil }
+func (f *Forwarder) isStopping() bool { return f.stop.Load() != nil }
 
 // timeLeft returns how long an answer may still take: until the request's deadline and, while the entry stops,
 // within the part of the remaining grace period that may be planned for.
 func (f *Forwarder) timeLeft(c *call, now time.Time) time.Duration {
 	left := c.deadline.Sub(now)
-	if cutAt := f.cutAt.Load(); cutAt != nil {
-		left = min(left, admitter.UsableTime(cutAt.Sub(now)))
+	if p := f.stop.Load(); p != nil {
+		left = min(left, admitter.UsableTime(p.cutAt.Sub(now)))
 	}
 	return left
 }
 
 // canFinish reports whether a request that was not sent yet can be answered before the entry ends.
-func (f *Forwarder) canFinish(expected time.Duration, now time.Time) bool {
-	cutAt := f.cutAt.Load()
-	return cutAt == nil || admitter.FinishesBeforeStop(cutAt.Sub(now), expected)
+func (f *Forwarder) canFinish(c *call, now time.Time) bool {
+	p := f.stop.Load()
+	return p == nil || admitter.FinishesBeforeStop(admitter.StopInput{
+		Remaining: p.cutAt.Sub(now), Expected: c.expected, Longest: c.longest, Limit: c.deadline.Sub(now), Elsewhere: !now.Before(p.closeAt),
+	})
 }
 
 func (f *Forwarder) serveReady(w http.ResponseWriter, r *http.Request) {
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -52,8 +52,9 @@
 	// that the prompt does not have to wait for others.
 	prefillTime time.Duration
 	uncontended bool
-	// expected is how long the answer is expected to take from now on, at the current backend server.
-	expected time.Duration
+	// expected is how long the answer is expected to take from now on, at the current backend server, and longest how
+	// long the longest takes that the caller allows.
+	expected, longest time.Duration
 	// inFlight is the number of running and waiting requests at that backend server when it was chosen.
 	inFlight int
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
@@ -80,8 +81,9 @@
 // prompt describes a request's prompt, as given by its headers.
 type prompt struct {
 	tokens int
-	// outputTokens is the expected number of tokens in the answer.
-	outputTokens int
+	// outputTokens is the expected number of tokens in the answer, maxOutputTokens the most that the caller allows; 0 if
+	// unknown.
+	outputTokens, maxOutputTokens int
 	// sharedPrefix identifies the longest prefix that other requests share, sharedTokens is its length.
 	sharedPrefix string
 	sharedTokens int
@@ -244,6 +246,7 @@
 	}
 	if n, err := strconv.Atoi(strings.TrimSpace(out)); err == nil {
 		p.outputTokens = max(n, 0)
+		p.maxOutputTokens = p.outputTokens
 	}
 	return p
 }
@@ -314,7 +317,9 @@
 }
 
 // callerLeft reports whether the context ended because the caller disconnected.
-func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) && !isCut(ctx) }
+func callerLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !isCut(ctx)
+}
 
 // isCut reports whether the context ended because the entry's grace period is over.
 func isCut(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCut) }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -80,7 +80,7 @@
 			}
 			break
 		}
-		if c.sent == 0 && !f.canFinish(c.expected, now) {
+		if c.sent == 0 && !f.canFinish(c, now) {
 			last = model.Refuse(model.KindLeaving, "the entry stops before an answer would be complete: send the request again").WithRetry(stoppingRetry)
 			break
 		}
--- a/internal/forwarder/stopping_test.go
+++ b/internal/forwarder/stopping_test.go
@@ -35,7 +35,9 @@
 		// does not say.
 		Length, Most int
 		// Limit is the caller's time limit in milliseconds, 0 for none.
-		Limit   int
+		Limit int
+		// Late means that the request comes on a connection that was opened before the listener closed, after that.
+		Late    bool
 		Replies []string
 		Result  `yaml:",inline"`
 	}
@@ -68,7 +70,22 @@
 			if c.Limit > 0 {
 				r.Header.Set("Time-Left", fmt.Sprint(c.Limit))
 			}
-			resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+			conn, err := net.Dial("tcp", e.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if c.Late {
+				time.Sleep(time.Until(e.Forwarder.stop.Load().closeAt.Add(-firstRequestTime / 2)))
+				conn.Close()
+				if conn, err = net.Dial("tcp", e.callers); err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				time.Sleep(time.Until(e.Forwarder.stop.Load().closeAt.Add(10 * time.Millisecond)))
+			}
+			dial := func(context.Context, string, string) (net.Conn, error) { return conn, nil }
+			resp, err := (&http.Transport{DisableKeepAlives: true, DialContext: dial}).RoundTrip(r)
 			if err != nil {
 				t.Fatal(err)
 			}
