Ask for SIGHUP before a direct entry reads its settings

An entry that got SIGHUP while it started ended, and with it every connection that its listener had taken. Cause: the signal was asked for last, by the goroutine that watches the settings, after the listeners were open; until then its default action ends the process. Change: the command asks for it first and hands the channel on.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -51,6 +51,9 @@
 }
 
 func (d *directCommand) run(ctx context.Context, out io.Writer) error {
+	// Until it is asked for, SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return fmt.Errorf("environment variable %s is not set: set it to the path of the settings file", platform.SettingsVariable)
@@ -59,10 +62,10 @@
 	if err != nil {
 		return err
 	}
-	return d.serve(ctx, ps, out)
+	return d.serve(ctx, ps, out, hup)
 }
 
-func (d *directCommand) serve(ctx context.Context, ps platform.Settings, out io.Writer) error {
+func (d *directCommand) serve(ctx context.Context, ps platform.Settings, out io.Writer, hup <-chan os.Signal) error {
 	s := ps.EntrySettings()
 	// Without this, a write to a log pipe that its reader closed would end the process.
 	signal.Ignore(syscall.SIGPIPE)
@@ -142,7 +145,7 @@
 		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: cannot open the relay listener; other entries cannot follow this one")
 	}
 	wg.Go(func() {
-		d.watchSettings(runCtx, log, func(s model.DirectSettings) { platformState.SetMaxKeyAge(s.MaxKeyAge); f.SetRetryBudget(s.RetryBudget) })
+		d.watchSettings(runCtx, log, hup, func(s model.DirectSettings) { platformState.SetMaxKeyAge(s.MaxKeyAge); f.SetRetryBudget(s.RetryBudget) })
 	})
 	err = f.Run(ctx, listeners)
 	cancel()
@@ -154,12 +157,9 @@
 // reloadInterval is the interval between two reads of the settings file, which may change without a signal.
 const reloadInterval = 2 * time.Second
 
-// watchSettings rereads the settings file at reloadInterval and on SIGHUP, and applies it if it
+// watchSettings rereads the settings file at reloadInterval and when hup says so, and applies it if it
 // changed. If the file cannot be read or is invalid, the previous settings stay in force.
-func (d *directCommand) watchSettings(ctx context.Context, log zerolog.Logger, apply func(model.DirectSettings)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (d *directCommand) watchSettings(ctx context.Context, log zerolog.Logger, hup <-chan os.Signal, apply func(model.DirectSettings)) {
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	path := os.Getenv(platform.SettingsVariable)
