Add a failing test for requests that arrive at a stopping entry of the own deployment

The class of fault that direct entries had in a stop: http.Server.Shutdown drops what it reads after its start.

--- a/internal/launcher/launcher_test.go
+++ b/internal/launcher/launcher_test.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -205,3 +206,35 @@
 	}
 	return string(b)
 }
+
+// TestStopDropsRequestThatArrives: the head of a request arrives at an entry that stops, on a connection that is open.
+func TestStopDropsRequestThatArrives(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	f := startMixedFleet(ctx, t)
+	e := f.Entries[0]
+	c, err := net.Dial("tcp", strings.TrimPrefix(e.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET /readyz HTTP/1.1\r\nHost: a.ex")
+	stopped := make(chan struct{})
+	go func() {
+		e.Stop()
+		close(stopped)
+	}()
+	time.Sleep(f.cfg.Drain.Lag + 300*time.Millisecond)
+	fmt.Fprint(c, "ample\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Errorf("the request got no answer: %v", err)
+	} else {
+		resp.Body.Close()
+	}
+	c.Close()
+	<-stopped
+	cancel()
+	if err := f.Wait(); err != nil {
+		t.Error(err)
+	}
+}
