Stop entries of the own deployment without dropping what arrives

Callers whose request arrived while an entry of the own deployment stopped saw their connection end without an answer. Cause: http.Server.Shutdown drops requests that it reads after its start, and closes connections at once. Change: the entry takes callers' connections through acceptor, as direct entries do. Its bound on connections lets a waiting accept go when the listener closes, and keeps the means to close one side.

--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/acceptor"
 	"github.com/bramleyhinge/bramleyhinge/internal/breaker"
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/explainer"
@@ -98,14 +99,11 @@
 func (e *Entry) Run(ctx context.Context, callers, control net.Listener, server *messenger.Server) error {
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	httpServer := &http.Server{
-		Handler:           e.Handler(),
-		ReadHeaderTimeout: 10 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    int(e.cfg.Settings.Limits.Header),
-	}
+	front := acceptor.New(acceptor.Config{
+		Handler: e.Handler(), Limits: e.callerLimits, Meter: e.cfg.Meter, Log: e.cfg.Log,
+	})
 	errs := make(chan error, 2)
-	go func() { errs <- httpServer.Serve(newLimitListener(callers, e.cfg.Settings.Limits.Connections)) }()
+	go func() { errs <- front.Serve(newLimitListener(callers, e.cfg.Settings.Limits.Connections)) }()
 	go func() { errs <- server.Serve(runCtx, control) }()
 	var wg sync.WaitGroup
 	for _, run := range []func(context.Context){
@@ -119,20 +117,30 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	e.drain(runCtx, httpServer)
+	e.drain(runCtx, front)
 	server.Close()
 	stop()
 	wg.Wait()
 	return nil
 }
 
-func (e *Entry) drain(ctx context.Context, server *http.Server) {
+const (
+	// headerTimeout is how long the head of a request may take, idleTimeout how long a connection may be idle.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+func (e *Entry) callerLimits() acceptor.Limits {
+	return acceptor.Limits{HeaderBytes: int(e.cfg.Settings.Limits.Header), HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+func (e *Entry) drain(ctx context.Context, front *acceptor.Acceptor) {
 	e.draining.Store(true)
 	e.cfg.Log.Info().Msg("entry: draining, no longer ready")
 	pauser.Pause(ctx, e.cfg.Settings.Drain.Lag)
 	shutdown, cancel := context.WithTimeout(ctx, e.cfg.Settings.Drain.Grace)
 	defer cancel()
-	if err := server.Shutdown(shutdown); err != nil {
+	if err := front.Shutdown(shutdown); err != nil {
 		e.cfg.Log.Warn().Err(err).Msg("entry: requests were still running at the end of the grace time")
 	}
 	e.cfg.Owner.Resign(ctx)
@@ -153,30 +161,50 @@
 type limitListener struct {
 	net.Listener
 	slots chan struct{}
+	// closed ends a wait for a slot.
+	closed chan struct{}
+	once   sync.Once
 }
 
 func newLimitListener(l net.Listener, n int) net.Listener {
-	return &limitListener{Listener: l, slots: make(chan struct{}, n)}
+	return &limitListener{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
 // Accept waits for a free slot and then for a connection.
 func (l *limitListener) Accept() (net.Conn, error) {
-	l.slots <- struct{}{}
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
 		return nil, err
 	}
-	return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+	tc, ok := c.(*net.TCPConn)
+	if !ok {
+		<-l.slots
+		return nil, errors.Join(errNoTCP, c.Close())
+	}
+	return &limitedConn{TCPConn: tc, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+var errNoTCP = errors.New("the connection of a caller is not TCP: listen on a TCP address")
+
+// Close ends a wait for a slot as well.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
 }
 
 type limitedConn struct {
-	net.Conn
+	*net.TCPConn
 	release func()
 }
 
 // Close frees the connection's slot.
 func (c *limitedConn) Close() error {
 	c.release()
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
