Do not forward text that is no event as part of a stream

Callers would see: the head of an error response, or its text, between the events of a stream, in four rows as the end of a stream that looked complete. Reported by an operator of a similar system.

Cause: whatever ended with a blank line was an event, and the head of a response ends with one. The class: bytes are taken for what is expected at their place because their delimiter fits.

Evidence: eight rows of TestBrokenStreamContainsOtherBytes failed before, with bodies such as "id: 1, data: 1, HTTP/1.1 500 Error, Content-Length: 5, sorry" and no error for the caller. The rows of other statuses, errors outside the framing and lengths that do not fit passed before; they stay as guards.

Change: splitter.IsEvent tells events and comments from other text: a block needs a known field or a comment, and fields of other names only precede these, as the version of the weights does. The forwarder ends such an attempt as one that broke off: the stream is resumed on another backend server or breaks off visibly. A block whose text merely quotes a response is an event as before.

Measured: all rows and TestStreams pass with the race detector.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -179,6 +179,10 @@
 			rep.closeConn()
 			return classifyError(ctx, err)
 		}
+		if !splitter.IsEvent(event) {
+			rep.closeConn()
+			return &failure{kind: failureBroken, cause: errNoEvent}
+		}
 		// Comments do not count: a stalled backend server may go on sending them.
 		hasData := len(splitter.Data(event)) > 0
 		if hasData {
@@ -257,7 +261,10 @@
 	f.cfg.Meter.ObserveEventInterval(c.org, model.ClassID(c.route.Route), o.EventInterval)
 }
 
-var errMissingEvent = errors.New("an event of the stream is missing")
+var (
+	errNoEvent      = errors.New("the stream contains text that is no event")
+	errMissingEvent = errors.New("an event of the stream is missing")
+)
 
 // checkEventOrder checks an event's id against the last delivered one: it skips events that the caller
 // already has and returns an error if one is missing.
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -276,6 +276,10 @@
 		time.Sleep(minHeadTimeout + 500*time.Millisecond)
 		fmt.Fprint(c, answer(req, "", "answer"))
 		return true
+	case "raw":
+		// The status and the lines of the head are separated by bars, two bars separate them from the body.
+		head, body, _ := strings.Cut(rest, "||")
+		fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\n\r\n%s", strings.ReplaceAll(head, "|", "\r\n"), id, body)
 	case "events", "slowevents", "pause", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
 		return b.stream(c, r, id, word, rest)
 	default:
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -59,6 +59,28 @@
 	return len(before) == 0 || before[len(before)-1] == '\n'
 }
 
+// IsEvent reports whether what Next returned is an event or a comment and not other text, such as the head of a
+// response that a proxy wrote into the stream. Fields of other names may precede the known ones only: what follows
+// an event that broke off looks like fields of other names as well.
+func IsEvent(event []byte) bool {
+	known := false
+	for line := range bytes.Lines(bytes.TrimPrefix(event, []byte("\ufeff"))) {
+		if isBlank(line) {
+			continue
+		}
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "", "data", "event", "id", "retry":
+			known = true
+		default:
+			if known {
+				return false
+			}
+		}
+	}
+	return known
+}
+
 // Data returns the value of the event's data field, without the final line end; it joins several data
 // lines by newlines.
 func Data(event []byte) []byte {
--- a/internal/splitter/splitter_test.go
+++ b/internal/splitter/splitter_test.go
@@ -10,7 +10,8 @@
 	"github.com/rogpeppe/go-internal/txtar"
 )
 
-// TestStreams splits streams from a file and compares the data of their events, one per line.
+// TestStreams splits streams from a file and compares the data of their events, one per line, or "no event" for
+// other text.
 func TestStreams(t *testing.T) {
 	a, err := txtar.ParseFile("testdata/streams.txtar")
 	if err != nil {
@@ -27,6 +28,10 @@
 					got.WriteString(err.Error() + "\n")
 					break
 				}
+				if !IsEvent(event) {
+					got.WriteString("no event\n")
+					continue
+				}
 				got.Write(append(Data(event), '\n'))
 			}
 			if diff := cmp.Diff(string(want.Data), got.String()); diff != "" {
