Do not continue a broken error answer with the events of another one

Callers would see: a long error answer on a streaming route, such as a 400 whose text is over 256 KiB, followed by the events of another backend server; without a length it looked complete.

Cause: whether an answer that the caller has a part of may be continued was told from the route. On a streaming route that may be resumed every answer counted as a stream, also one that deliverLongBody forwards.

Evidence: a row of TestBrokenStreamContainsOtherBytes failed before with status 400, events 1 and 2 after its text, no error for the caller and two arrivals.

Change: the call says itself that no other attempt can continue its answer. Such an answer breaks off visibly.

Measured: the row and the package's tests pass with the race detector.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -119,7 +119,7 @@
 // deliverLongBody forwards an answer that exceeds the buffer while it is being received.
 func (f *Forwarder) deliverLongBody(ctx context.Context, c *call, rep *reply, out *answerWriter, buffered []byte) *failure {
 	out.writeHead(rep, rep.ContentLength)
-	c.delivered = true
+	c.delivered, c.unresumable = true, true
 	var rest io.Reader = rep.Body
 	if rep.ContentLength < 0 {
 		rest = io.LimitReader(rest, maxUnsizedBytes)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -76,6 +76,8 @@
 	lastEvent string
 	// delivered is set once part of the answer was written to the caller.
 	delivered bool
+	// unresumable is set once the caller has a part of an answer that no other attempt can continue.
+	unresumable bool
 }
 
 // prompt describes a request's prompt, as given by its headers.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -170,7 +170,7 @@
 	if fail.kind == failureUnreached {
 		return refusal, c.failedDials < maxFailedDials
 	}
-	if c.sent >= c.route.Attempts || c.mayHaveRun && !isRetryable(c) || c.delivered && !c.route.Stream {
+	if c.sent >= c.route.Attempts || c.mayHaveRun && !isRetryable(c) || c.unresumable {
 		return refusal, false
 	}
 	if banned := f.refuseBanned(c, now); banned != nil {
