Do not join events without an id to a resumed stream

Callers would see: "event: error" and its text in the middle of their stream, or as its end, where the next backend server answered with success and told its error in an event.

Cause: an event without a number passed the check of the order, also in the part that another backend server sends. The router vouches for that joint; only ids show that one event follows another.

Evidence: three rows of TestBrokenStreamContainsOtherBytes failed before (an event without an id; an error event; an error event after events): callers received the text and an end without an error, two of four events were missing.

Change: in a resumed part every event with data needs an id that compares with the last one; the closing event of completions needs none. Otherwise the attempt counts as broken off. Comments pass, and the part of the first backend server stays as it sent it.

Measured: the rows and the package's tests pass with the race detector.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -173,7 +173,7 @@
 	events := splitter.New(rep.Body)
 	rc := http.NewResponseController(out.w)
 	silenceLimit := max(minSilenceLimit, silenceGapFactor*c.route.MaxEventGap)
-	awaitingFirst, received, delivered := !c.delivered, 0, 0
+	resumed, awaitingFirst, received, delivered := c.delivered, !c.delivered, 0, 0
 	streamStart := time.Now()
 	lastData := streamStart
 	for {
@@ -211,6 +211,10 @@
 			awaitingFirst = false
 		}
 		id := eventID(event)
+		if resumed && hasData && !c.hasPosition(id) && string(splitter.Data(event)) != splitter.Done {
+			rep.closeConn()
+			return &failure{kind: failureBroken, cause: errNoPosition}
+		}
 		if skip, err := c.checkEventOrder(id); err != nil {
 			rep.closeConn()
 			return &failure{kind: failureBroken, cause: err}
@@ -277,9 +281,19 @@
 
 var (
 	errNoEvent      = errors.New("the stream contains text that is no event")
+	errNoPosition   = errors.New("an event of the resumed stream has no id to follow the last event")
 	errMissingEvent = errors.New("an event of the stream is missing")
 )
 
+// hasPosition reports whether an event's id can be compared with the last delivered one.
+func (c *call) hasPosition(id string) bool {
+	if _, err := strconv.ParseInt(c.lastEvent, 10, 64); err != nil {
+		return id != ""
+	}
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // checkEventOrder checks an event's id against the last delivered one: it skips events that the caller
 // already has and returns an error if one is missing.
 func (c *call) checkEventOrder(id string) (skip bool, err error) {
