Do not pass on text that is no event from an engine

Callers of the own deployment would see: the head or the text of an error between the events of a stream; with a closing event after it the stream counted as complete.

Evidence: two of three rows of TestStreamContainsOtherText failed before: parts "HTTP/1.1 500 Error ..." and "sorry", and no refusal where the closing event followed.

Change: the agent ends such an answer as one that broke off.

Measured: the rows and the package's tests pass with the race detector.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -105,8 +105,8 @@
 // redactedCause describes a transport error without naming addresses.
 func redactedCause(err error) string {
 	switch {
-	case errors.Is(err, errTruncated):
-		return errTruncated.Error()
+	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent):
+		return err.Error()
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return "the connection closed in the middle of the answer"
 	default:
@@ -114,7 +114,10 @@
 	}
 }
 
-var errTruncated = errors.New("the stream ended without its closing event")
+var (
+	errTruncated = errors.New("the stream ended without its closing event")
+	errNoEvent   = errors.New("the stream contains text that is no event")
+)
 
 // copyEvents pushes one part for each event and takes the token counts from the usage event.
 func copyEvents(r *run, body io.Reader, end *messenger.End) error {
@@ -128,6 +131,9 @@
 		if err != nil {
 			return err
 		}
+		if !splitter.IsEvent(event) {
+			return errNoEvent
+		}
 		data := splitter.Data(event)
 		if string(data) == splitter.Done {
 			doneSeen = true
