Do not write an error event into an answer that is no stream

Callers of the own deployment would see: {"text":event: error, that is, the text of a refusal in the middle of a JSON answer, where an engine answered a request for a stream with another document and broke off.

Cause: streamSink.abort did not ask for the type of the answer that it ends.

Evidence: the row "an answer that is no stream breaks off" of TestAnswerContainsPartsOfAnother failed before.

Change: only an event stream gets the error event, as docs/OPERATIONS.md says; any broken answer ends with its connection, without a last chunk.

Measured: the row and the package's tests pass.

--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -118,11 +119,11 @@
 	return s.write(s.closingEvent)
 }
 
-// abort ends a broken answer with an error event instead of the closing event and closes the
+// abort ends a broken stream with an error event instead of the closing event and closes the
 // connection, so that no caller takes the answer for complete.
 func (s *streamSink) abort(r *model.Refusal) {
 	b, err := json.Marshal(newErrorBody(r))
-	if err == nil {
+	if err == nil && strings.HasPrefix(s.mediaType, "text/event-stream") {
 		fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", b)
 		// The connection is closed next, so an error here changes nothing.
 		_ = s.flusher.Flush()
