Drop the closing event of an attempt that failed

Callers of the own deployment would see: a second data: [DONE], or one after a JSON answer, where the first engine sent its closing event only and broke off, and another one answered.

Cause: the sink holds the closing event back until the answer is complete, and kept it for the next attempt.

Evidence: two rows of TestAnswerContainsPartsOfAnother failed before, with bodies "{}data: [DONE]" and two closing events.

Change: the head of an answer drops what was held of the one before, as in the buffering sink.

Measured: the rows and the package's tests pass.

--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -75,7 +75,7 @@
 }
 
 func (s *streamSink) setHead(status int, contentType string) {
-	s.status, s.mediaType = status, contentType
+	s.status, s.mediaType, s.closingEvent = status, contentType, nil
 }
 
 var doneMarker = []byte("[DONE]")
