Reset the connection of a caller without chunks whose answer breaks off

Callers would see: with HTTP/1.0, the beginning of a stream or of a long answer without a length, and a regular end of the connection. It looked complete.

Cause: a broken answer was shown by a missing last chunk only. HTTP/1.0 has no chunks; there an answer without a length ends with its connection, and the router closed it in the same way in both cases.

Evidence: five rows of TestBrokenAnswerLooksComplete with HTTP/1.0 failed before: a stream that broke off, one that must run once, one at its deadline, one cut at the end of a planned stop, and a long answer without a length. The row of a long answer with a length and those of HTTP/1.1, also of callers that close, passed before.

Change: from the head of such an answer until its last byte, closing the connection resets it. This holds for every end of the handler, for the end of the grace period and for the end of the process.

Killing the process was not tried.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"maps"
@@ -51,6 +52,8 @@
 	// deadline is the one that net/http has set for reads.
 	deadline time.Time
 	closing  bool
+	// resets is set while closing the connection resets it.
+	resets bool
 }
 
 type connKey struct{}
@@ -114,6 +117,9 @@
 	// A read of net/http that waits must end, since the rest is read here.
 	err := c.Conn.SetReadDeadline(pastDeadline)
 	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.resets {
+		ok = false
+	}
 	if ok && err == nil {
 		err = w.CloseWrite()
 	}
@@ -125,6 +131,26 @@
 	return nil
 }
 
+// ResetOnClose sets whether closing the connection of a request, also by the end of the process, resets it. The context
+// is the request's.
+func ResetOnClose(ctx context.Context, on bool) {
+	c, ok := ctx.Value(connKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = on
+	seconds := -1
+	if on {
+		seconds = 0
+	}
+	if tc, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		// This fails only if the connection is closed, which the next write reports.
+		_ = tc.SetLinger(seconds)
+	}
+}
+
 // linger reads what the caller still sends and closes the connection when it may. Bytes that follow the closing of an
 // idle connection are a request that crossed it.
 func (c *callerConn) linger(idle bool) {
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/acceptor"
 	"github.com/bramleyhinge/bramleyhinge/internal/splitter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -38,6 +39,25 @@
 	w       http.ResponseWriter
 	started bool
 	status  int
+	// resetOnClose sets whether closing the caller's connection resets it; nil unless the caller knows no chunks.
+	resetOnClose func(on bool)
+}
+
+// newAnswerWriter returns a writer of the answer to a call.
+func newAnswerWriter(ctx context.Context, c *call, w http.ResponseWriter) *answerWriter {
+	out := &answerWriter{w: w}
+	if c.unchunked {
+		// Such a caller takes an answer without a length for complete if its connection is closed without a reset.
+		out.resetOnClose = func(on bool) { acceptor.ResetOnClose(ctx, on) }
+	}
+	return out
+}
+
+// complete marks an answer as complete after its last byte.
+func (o *answerWriter) complete() {
+	if o.resetOnClose != nil {
+		o.resetOnClose(false)
+	}
 }
 
 // abort closes the caller's connection, so that a partial answer does not look complete.
@@ -51,8 +71,11 @@
 			h[name] = values
 		}
 	}
-	if length >= 0 {
+	switch {
+	case length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	case o.resetOnClose != nil:
+		o.resetOnClose(true)
 	}
 	o.w.WriteHeader(rep.StatusCode)
 	o.started, o.status = true, rep.StatusCode
@@ -146,6 +169,7 @@
 		rep.closeConn()
 		return classifyError(ctx, err)
 	}
+	out.complete()
 	now := time.Now()
 	rep.releaseConn(now)
 	f.recordCompletion(c, rep, now, nil)
@@ -253,6 +277,7 @@
 	if !out.started {
 		out.writeHead(rep, -1)
 	}
+	out.complete()
 	rep.releaseConn(now)
 	if delivered < paceEvents {
 		f.recordEventInterval(c, rep, delivered, now.Sub(streamStart), now)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -78,6 +78,8 @@
 	delivered bool
 	// unresumable is set once the caller has a part of an answer that no other attempt can continue.
 	unresumable bool
+	// unchunked is set if the caller's version of HTTP has no chunks.
+	unchunked bool
 }
 
 // prompt describes a request's prompt, as given by its headers.
@@ -96,7 +98,7 @@
 // readRequest validates a request and reads its body; release frees the memory reserved for the body.
 func (f *Forwarder) readRequest(r *http.Request, now time.Time) (c *call, release func(), refusal *model.Refusal) {
 	release = func() {}
-	c = &call{id: r.Header.Get(f.cfg.Names.Request), start: now, method: r.Method, uri: r.RequestURI, host: r.Host}
+	c = &call{id: r.Header.Get(f.cfg.Names.Request), start: now, method: r.Method, uri: r.RequestURI, host: r.Host, unchunked: !r.ProtoAtLeast(1, 1)}
 	c.plan = f.cfg.PlatformState.Plan()
 	if c.plan == nil {
 		return c, release, model.Refuse(model.KindStaleConfiguration, "no plan is known yet: try again").WithRetry(time.Second)
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -68,7 +68,7 @@
 // runAttempts sends the request to backend servers until an answer is delivered, or refuses it.
 func (f *Forwarder) runAttempts(ctx context.Context, c *call, w http.ResponseWriter) {
 	c.tried = map[model.BackendID]bool{}
-	out := &answerWriter{w: w}
+	out := newAnswerWriter(ctx, c, w)
 	var left error
 	last := model.Refuse(model.KindNoBackend, "no backend server is ready").WithRetry(time.Second)
 	for {
