Do not resume a stream after an event without an id

Callers would see: the same event twice, in a stream whose events have no ids and that broke off; the next backend server began anew and its events followed.

Cause: whether a stream may be resumed was told from its route. What the caller has can be named by an id only.

Evidence: two rows of TestBrokenStreamContainsOtherBytes failed before (events without ids break off; an event without an id is the last before the break): no error for the caller, two arrivals.

Change: once the caller has an event with data and without an id, the stream breaks off visibly. Complete ones are forwarded as before.

Measured: the rows and the package's tests pass with the race detector.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -249,6 +249,8 @@
 			out.writeHead(rep, -1)
 		}
 		c.delivered = true
+		// Whether such an event comes again after a resume could not be told.
+		c.unresumable = c.unresumable || hasData && id == ""
 		if delivered++; delivered == paceEvents {
 			f.recordEventInterval(c, rep, delivered, time.Since(streamStart), time.Now())
 		}
