Do not end a resumed stream that the next backend server ends earlier

Callers would see: a stream that broke off after three events ended as if it were complete, where the next backend server began anew and ended after its second event.

Cause: events that the caller has already are skipped, and the end of an answer of which all was skipped counted as the end of the stream. Its own last event showed that it was not the end.

Evidence: two rows of TestBrokenStreamContainsOtherBytes failed before (a stream that ends before the last event, also with a comment): no error for the caller, two of five events missing.

Change: an answer whose last event comes before the last one that the caller has counts as broken off. One that begins anew and ends with that event is complete.

Measured: the rows and the package's tests pass with the race detector.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -198,6 +198,7 @@
 	rc := http.NewResponseController(out.w)
 	silenceLimit := max(minSilenceLimit, silenceGapFactor*c.route.MaxEventGap)
 	resumed, awaitingFirst, received, delivered := c.delivered, !c.delivered, 0, 0
+	lastID := ""
 	streamStart := time.Now()
 	lastData := streamStart
 	for {
@@ -235,6 +236,9 @@
 			awaitingFirst = false
 		}
 		id := eventID(event)
+		if id != "" {
+			lastID = id
+		}
 		if resumed && hasData && !c.hasPosition(id) && string(splitter.Data(event)) != splitter.Done {
 			rep.closeConn()
 			return &failure{kind: failureBroken, cause: errNoPosition}
@@ -275,6 +279,10 @@
 		rep.closeConn()
 		return &failure{kind: failureBroken, cause: errUnframedEnd}
 	}
+	if c.isAfter(lastID) {
+		rep.closeConn()
+		return &failure{kind: failureBroken, cause: errEndsBefore}
+	}
 	f.proveAttempt(c, rep.peer, now)
 	if !out.started {
 		out.writeHead(rep, -1)
@@ -310,6 +318,7 @@
 	errNoEvent      = errors.New("the stream contains text that is no event")
 	errNoPosition   = errors.New("an event of the resumed stream has no id to follow the last event")
 	errMissingEvent = errors.New("an event of the stream is missing")
+	errEndsBefore   = errors.New("the resumed stream ends before the last event that the caller has")
 )
 
 // hasPosition reports whether an event's id can be compared with the last delivered one.
@@ -321,6 +330,13 @@
 	return err == nil
 }
 
+// isAfter reports whether the caller already has an event after the one with the id.
+func (c *call) isAfter(id string) bool {
+	last, lastErr := strconv.ParseInt(c.lastEvent, 10, 64)
+	n, err := strconv.ParseInt(id, 10, 64)
+	return lastErr == nil && err == nil && n < last
+}
+
 // checkEventOrder checks an event's id against the last delivered one: it skips events that the caller
 // already has and returns an error if one is missing.
 func (c *call) checkEventOrder(id string) (skip bool, err error) {
