Follow roll-out orders beside odd ones

What callers would see: an order whose object another writer made unreadable stayed in force at instances that watched it, and was dropped at those that listed it, so that instances split the service's requests differently. Once such an object was removed, its order stayed in force where it was watched. An order named after one service but for another replaced that one's order. Each list logged an unreadable order, or plan, anew.

Change: the key tells the service. An unreadable object keeps the order that it held before at its new revision, so that the status can still be reported; one that was created since removes it. Lines are logged once for each revision.

Measured: the tests pass.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,7 +21,8 @@
 	Plan, Servers, Orders, Shared string
 }
 
-// Decoder decodes the store's objects. IsPlan reports whether a key holds the plan.
+// Decoder decodes the store's objects. IsPlan reports whether a key holds the plan. Order sets the order's service also
+// if it returns an error.
 type Decoder struct {
 	IsPlan func(key string) bool
 	Plan   func(value []byte) (*model.Plan, error)
@@ -53,15 +54,17 @@
 	plan *model.Plan
 	// planRev is the position of the plan in force; storeBehind is set while the store holds an older plan, since
 	// it came back from a copy.
-	planRev       model.Revision
-	storeBehind   bool
-	floor         floor
-	confirmedAt   time.Duration
-	everConfirmed bool
-	servers       *serverTable
-	orders        *orderTable
-	sharedObjects map[string]storer.Object
-	listed        map[string]bool
+	planRev     model.Revision
+	storeBehind bool
+	// unreadablePlan is the revision of the last plan that could not be decoded; updates guards it.
+	unreadablePlan model.Revision
+	floor          floor
+	confirmedAt    time.Duration
+	everConfirmed  bool
+	servers        *serverTable
+	orders         *orderTable
+	sharedObjects  map[string]storer.Object
+	listed         map[string]bool
 	// ready is closed once the plan and all lists have been read.
 	ready          chan struct{}
 	onSharedObject []func(storer.Object)
@@ -216,8 +219,11 @@
 		}
 		p, err := f.cfg.Decode.Plan(o.Value)
 		if err != nil {
-			f.cfg.Log.Error().Err(err).Int64("revision", o.Revision.Change()).Uint32("era", uint32(o.Revision.Era())).
-				Msg("follower: plan cannot be decoded, the previous one stays in force")
+			if o.Revision != f.unreadablePlan {
+				f.unreadablePlan = o.Revision
+				f.cfg.Log.Error().Err(err).Int64("revision", o.Revision.Change()).Uint32("era", uint32(o.Revision.Era())).
+					Msg("follower: plan cannot be decoded, the previous one stays in force")
+			}
 			continue
 		}
 		f.putPlan(p, o.Revision)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -42,7 +42,11 @@
 		return model.BackendServer{Backend: model.BackendID(id), Service: "svc", State: model.BackendState(state), StartUnixMilli: parseStart(start), Address: address}, nil
 	},
 	Order: func(o storer.Object) (model.RolloutOrder, error) {
-		return model.RolloutOrder{Service: model.ServiceID(strings.TrimPrefix(o.Key, "orders/")), Version: model.VersionID(o.Value), Revision: o.Revision, Created: o.Created}, nil
+		service := model.ServiceID(strings.TrimPrefix(o.Key, "orders/"))
+		if string(o.Value) == "rubbish" {
+			return model.RolloutOrder{Service: service}, errRubbish
+		}
+		return model.RolloutOrder{Service: service, Version: model.VersionID(o.Value), Revision: o.Revision, Created: o.Created}, nil
 	},
 }
 
@@ -128,23 +132,29 @@
 }
 
 // TestOlderPlanIsIgnored checks that the plan in force stays when an older plan, an object of
-// another key or an undecodable plan arrives.
+// another key or an undecodable plan arrives, which is logged once.
 func TestOlderPlanIsIgnored(t *testing.T) {
 	f := newTestFollower(nil, nil)
+	log := &logLines{}
+	f.cfg.Log = zerolog.New(log)
 	var got []int64
 	for _, o := range []storer.Object{
 		{Key: "plans/main", Revision: 5, Value: []byte("12345")},
 		{Key: "plans/main", Revision: 4, Value: []byte("1234")},
 		{Key: "plans/main", Revision: 6, Value: []byte("rubbish")},
+		{Key: "plans/main", Revision: 6, Value: []byte("rubbish")},
 		{Key: "plans/other", Revision: 7, Value: []byte("1")},
 		{Key: "plans/main", Revision: 8, Value: []byte("12345678")},
 	} {
 		f.applyPlan(batch{objects: []storer.Object{o}}, time.Unix(1000, 0))
 		got = append(got, f.Plan().Version)
 	}
-	if diff := cmp.Diff([]int64{5, 5, 5, 5, 8}, got); diff != "" {
+	if diff := cmp.Diff([]int64{5, 5, 5, 5, 5, 8}, got); diff != "" {
 		t.Errorf("versions in force (-want +got):\n%s", diff)
 	}
+	if diff := cmp.Diff(1, log.count("cannot be decoded")); diff != "" {
+		t.Errorf("lines on the undecodable plan (-want +got):\n%s", diff)
+	}
 }
 
 // TestKeysExpireInAnOutage checks that API keys are no longer fresh once the store has been down for
--- a/internal/follower/odd_test.go
+++ b/internal/follower/odd_test.go
@@ -69,6 +69,16 @@
 	return slices.Clone(l.lines)
 }
 
+func (l *logLines) count(text string) int {
+	n := 0
+	for _, line := range l.all() {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
 type oddCase struct {
 	Name, Entry string
 	With        map[string]string
@@ -163,7 +173,14 @@
 	}
 	announce("sound3", 203)
 	awaitUsable("sound1", "sound2", "sound3")
-	checkOddLines(t, log.all(), 2*len(odd))
+	if diff := cmp.Diff(2*len(odd), log.count("cannot be decoded")); diff != "" {
+		t.Errorf("lines on odd entries (-want +got):\n%s", diff)
+	}
+	for _, line := range log.all() {
+		if len(line) > maxLineBytes {
+			t.Errorf("a line of the log has %d bytes: %s...", len(line), line[:100])
+		}
+	}
 }
 
 func usableServers(f *Follower) []model.BackendID {
@@ -196,20 +213,3 @@
 	}
 	to.applyReply(poll{changes: true}, reply)
 }
-
-// checkOddLines checks that the changes to odd entries are logged once each, and that no line is long.
-func checkOddLines(t *testing.T, lines []string, want int) {
-	t.Helper()
-	odd := 0
-	for _, line := range lines {
-		if strings.Contains(line, "cannot be decoded") {
-			odd++
-		}
-		if len(line) > maxLineBytes {
-			t.Errorf("a line of the log has %d bytes: %s...", len(line), line[:100])
-		}
-	}
-	if diff := cmp.Diff(want, odd); diff != "" {
-		t.Errorf("lines on odd entries (-want +got):\n%s", diff)
-	}
-}
--- a/internal/follower/orders.go
+++ b/internal/follower/orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -16,6 +17,8 @@
 	replaced map[orderID]bool
 	// lostAt holds when a copy of the store was found to lack an order.
 	lostAt map[model.ServiceID]time.Time
+	// unreadable holds the revisions of the objects that cannot be decoded, by their keys.
+	unreadable map[string]model.Revision
 }
 
 // orderID identifies an order that a copy of the store still has. The number of the change that created it is the same
@@ -27,7 +30,7 @@
 }
 
 func newOrderTable() *orderTable {
-	return &orderTable{orders: map[model.ServiceID]model.RolloutOrder{}, replaced: map[orderID]bool{}, lostAt: map[model.ServiceID]time.Time{}}
+	return &orderTable{orders: map[model.ServiceID]model.RolloutOrder{}, replaced: map[orderID]bool{}, lostAt: map[model.ServiceID]time.Time{}, unreadable: map[string]model.Revision{}}
 }
 
 func idOf(o model.RolloutOrder) orderID {
@@ -47,6 +50,24 @@
 	return true
 }
 
+// keepUnreadable keeps the order of a service whose object can no longer be decoded, at the object's revision, so that
+// its status can still be reported. An order that the object took the place of was removed. It reports whether the
+// object is new.
+func (t *orderTable) keepUnreadable(o storer.Object, s model.ServiceID) bool {
+	known, ok := t.orders[s]
+	switch {
+	case !ok || o.Revision < known.Revision:
+	case o.Created != 0 && o.Created.Change() != known.Created.Change():
+		t.remove(s)
+	default:
+		known.Revision = o.Revision
+		t.orders[s] = known
+	}
+	changed := t.unreadable[o.Key] != o.Revision
+	t.unreadable[o.Key] = o.Revision
+	return changed
+}
+
 func (t *orderTable) remove(s model.ServiceID) {
 	if known, ok := t.orders[s]; ok {
 		t.noteReplaced(known)
@@ -92,15 +113,20 @@
 	listed := map[model.ServiceID]bool{}
 	for _, o := range b.objects {
 		order, err := f.cfg.Decode.Order(o)
-		if err != nil {
-			f.cfg.Log.Error().Err(err).Msg("follower: roll-out order cannot be decoded and is ignored")
-			continue
-		}
 		if o.Deleted {
+			delete(f.orders.unreadable, o.Key)
 			f.orders.remove(order.Service)
 			continue
 		}
 		listed[order.Service] = true
+		if err != nil {
+			if f.orders.keepUnreadable(o, order.Service) {
+				f.cfg.Log.Error().Err(err).Int64("revision", o.Revision.Change()).Uint32("era", uint32(o.Revision.Era())).
+					Msg("follower: roll-out order cannot be decoded, the last one stays in force")
+			}
+			continue
+		}
+		delete(f.orders.unreadable, o.Key)
 		delete(f.orders.lostAt, order.Service)
 		if f.orders.put(order) {
 			f.cfg.Log.Info().Str("service", string(order.Service)).Str("version", string(order.Version)).Dur("within", order.Duration).
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -132,10 +132,14 @@
 func TestReplacedOrderReturnsAfterRestore(t *testing.T) {
 	type step struct {
 		Full, Restored bool
-		After          time.Duration
-		Put            map[string]string
-		Remove         []string
-		Want           map[model.ServiceID]model.VersionID
+		// Again gives the objects the revision of the last step.
+		Again  bool
+		After  time.Duration
+		Put    map[string]string
+		Remove []string
+		Want   map[model.ServiceID]model.VersionID
+		// Lines is the number of lines that are logged on orders that cannot be decoded.
+		Lines int
 	}
 	for _, c := range tester.Load[struct {
 		Name  string
@@ -145,6 +149,8 @@
 			f := newTestFollower(nil, nil)
 			now, revision := time.Unix(1000, 0), model.NewRevision(1, 100)
 			for i, s := range c.Steps {
+				log := &logLines{}
+				f.cfg.Log = zerolog.New(log)
 				now = now.Add(s.After)
 				if s.Restored {
 					revision = model.NewRevision(revision.Era()+1, 0)
@@ -156,16 +162,21 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					revision++
+					if !s.Again {
+						revision++
+					}
 					in.objects = append(in.objects, storer.Object{
 						Key: "orders/" + service, Revision: revision, Created: model.NewRevision(revision.Era(), change), Value: []byte(version),
 					})
 				}
 				for _, service := range s.Remove {
 					revision++
-					in.objects = append(in.objects, storer.Object{Key: "orders/" + service, Revision: revision, Deleted: true})
+					in.objects = append(in.objects, storer.Object{Key: "orders/" + service, Revision: revision, Deleted: true, Value: []byte("rubbish")})
 				}
 				f.applyOrders(in, now)
+				if diff := cmp.Diff(s.Lines, log.count("cannot be decoded")); diff != "" {
+					t.Errorf("lines on orders that cannot be decoded at step %d (-want +got):\n%s", i, diff)
+				}
 				got := map[model.ServiceID]model.VersionID{}
 				for _, o := range f.Orders() {
 					got[o.Service] = o.Version
