Take over odd evidence without holding up requests

What callers would see: an object of another writer among the published evidence held up all requests at every instance. Beside one of 1.7 MB with 20,000 crashes a request waited for 17.7 s, beside one of 0.9 MB with 40,000 proven traits for 12.2 s. Crashes at times beyond all clocks counted as of now, so that sound requests were banned.

Cause: the oldest crash was looked for anew for each one too many, and old proven traits for each new one once there were too many. The difference of two times overflowed before it was bounded.

Evidence: TestLongEvidenceHoldsUpRequests (17.7 s and 12.2 s) and TestOddEvidenceBans failed before.

Change: of one object, as many crashes are taken over as an instance publishes. Old proven traits are deleted once a second at most. Times are bounded by the time that counts before they are subtracted.

Measured: both tests pass, also with the race detector.

--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -24,6 +24,8 @@
 	proven  map[model.TraitID]proof
 	// accused counts the crashes that have a trait among their suspects.
 	accused map[model.TraitID]int
+	// sweptAt is when old proofs were last deleted.
+	sweptAt time.Time
 }
 
 func newEvidence() evidence {
@@ -65,7 +67,10 @@
 	}
 	last, known := e.proven[t]
 	if !known && len(e.proven) >= maxProven {
-		maps.DeleteFunc(e.proven, func(_ model.TraitID, p proof) bool { return at.Sub(p.any) > banDuration })
+		if at.Sub(e.sweptAt) >= sweepInterval {
+			e.sweptAt = at
+			maps.DeleteFunc(e.proven, func(_ model.TraitID, p proof) bool { return at.Sub(p.any) > banDuration })
+		}
 		if len(e.proven) >= maxProven && e.accused[t] == 0 {
 			return
 		}
--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -129,7 +129,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, c := range m.Crashes {
+	for _, c := range m.Crashes[:min(len(m.Crashes), maxPublished)] {
 		at := pastTime(c.UnixMilli, now)
 		if now.Sub(at) >= banDuration {
 			continue
@@ -151,9 +151,11 @@
 }
 
 // pastTime converts a Unix time in milliseconds to the local clock. A time in the future is that of a clock that
-// differs.
+// differs; times before banDuration no longer count and are not told apart.
 func pastTime(unixMilli int64, now time.Time) time.Time {
-	return now.Add(-max(0, time.Duration(now.UnixMilli()-unixMilli)*time.Millisecond))
+	nowMilli := now.UnixMilli()
+	oldest := nowMilli - banDuration.Milliseconds()
+	return now.Add(-time.Duration(nowMilli-min(max(unixMilli, oldest), nowMilli)) * time.Millisecond)
 }
 
 // Run publishes this entry's evidence whenever it changes, until the context ends. An entry that starts learns of
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -40,6 +40,8 @@
 	tellInterval = time.Second
 	// maxProven is the number of proven traits from which old ones are deleted.
 	maxProven = 20_000
+	// sweepInterval is the least time between two deletions of old proven traits.
+	sweepInterval = time.Second
 )
 
 // Store reads and writes the objects that hold the evidence of entries.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -171,6 +172,70 @@
 	}
 }
 
+// TestOddEvidenceBans checks that crashes at times beyond all clocks ban nothing, whatever the difference to the present
+// overflows to.
+func TestOddEvidenceBans(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, at := range []int64{math.MinInt64, now.UnixMilli() - 1<<58, now.UnixMilli() - 1<<62, now.Add(-banDuration).UnixMilli(), 0} {
+		q := newQuarantiner(0, nil)
+		var crashes []crashMessage
+		for i := range banThreshold {
+			crashes = append(crashes, crashMessage{Server: model.ServerLifetime{Backend: model.BackendID(fmt.Sprint("b", i))}, Traits: traits([]string{"bad"}), UnixMilli: at})
+		}
+		b, err := json.Marshal(storedEvidence{Crashes: crashes, Proven: map[model.TraitID]int64{"good": at}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		q.Merge(storer.Object{Key: "marks/crashes.x", Value: b}, now)
+		if q.IsBanned(traits([]string{"bad"}), now.Add(judgeInterval)) {
+			t.Errorf("crashes at %d ban at %d", at, now.UnixMilli())
+		}
+	}
+}
+
+// TestLongEvidenceHoldsUpRequests checks that no request waits long while objects with more crashes or proven traits
+// than are kept are taken over.
+func TestLongEvidenceHoldsUpRequests(t *testing.T) {
+	now := time.Now()
+	var crashes, proven storedEvidence
+	for i := range 20_000 {
+		crashes.Crashes = append(crashes.Crashes, crashMessage{Server: model.ServerLifetime{Backend: model.BackendID(fmt.Sprint("b", i))}, Traits: traits([]string{"bad"}), UnixMilli: now.UnixMilli()})
+	}
+	proven.Proven = map[model.TraitID]int64{}
+	for i := range 2 * maxProven {
+		proven.Proven[model.TraitID(fmt.Sprint("t", i))] = now.UnixMilli()
+	}
+	for _, m := range []storedEvidence{crashes, proven} {
+		q := newQuarantiner(0, nil)
+		b, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		merged := make(chan struct{})
+		go func() {
+			q.Merge(storer.Object{Key: "marks/crashes.x", Value: b}, now)
+			close(merged)
+		}()
+		longest := time.Duration(0)
+		for done := false; !done; {
+			select {
+			case <-merged:
+				done = true
+			case <-time.After(time.Millisecond):
+			}
+			begun := time.Now()
+			q.IsBanned(traits([]string{"good"}), begun)
+			longest = max(longest, time.Since(begun))
+		}
+		if longest > time.Second {
+			t.Errorf("a request waited for %v while an object of %d bytes was taken over, want one second at most", longest, len(b))
+		}
+		if n := len(q.evidence.crashes); n > maxPublished {
+			t.Errorf("%d crashes of one object are kept, want at most %d", n, maxPublished)
+		}
+	}
+}
+
 // TestUnchangedEvidenceIsNotWritten checks that an entry which learns nothing new does not write its evidence
 // again: each write wakes the watches of all entries.
 func TestUnchangedEvidenceIsNotWritten(t *testing.T) {
