Replace a stored stage that no roll-out can have

What callers would see: a stage that another writer left with a time near the largest duration stopped the roll-out for good: the time since the order overflowed to a negative one, and no next stage was due. With a number beyond the last stage, or a negative time, it counted as stored.

Cause: only the types of a stored stage were checked.

Evidence: a case of TestRolloutStartsAgainAfterRestore failed before, with no action due.

Change: such a stage counts as one that cannot be read, and is replaced.

Measured: the test passes.

--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -23,6 +23,8 @@
 	checkInterval = 100 * time.Millisecond
 	// writeRetryPause is the time between an entry's writes for one roll-out while the store refuses them.
 	writeRetryPause = 500 * time.Millisecond
+	// maxElapsed bounds the time after which a stored stage can begin.
+	maxElapsed = 365 * 24 * time.Hour
 )
 
 // PlatformState is the entry's local copy of the platform's state, as far as a Shifter reads it.
@@ -183,7 +185,11 @@
 		return storedStage{}, 0, false
 	}
 	var m storedStage
-	if err := json.Unmarshal(stored.Value, &m); err != nil {
+	err := json.Unmarshal(stored.Value, &m)
+	if err == nil && (m.Stage < 0 || m.Stage > stageFull || m.Elapsed < 0 || m.Elapsed > maxElapsed) {
+		err = fmt.Errorf("stage %d after %v is none of a roll-out", m.Stage, m.Elapsed)
+	}
+	if err != nil {
 		s.cfg.Log.Error().Err(err).Str("service", string(o.Service)).Msg("shifter: stored stage cannot be read and is replaced")
 		return storedStage{}, stored.Revision, false
 	}
