Do not let the odd address of one entry silence another

What callers would see: an address that another writer left as that of another entry, and then changed, made the messages of the sound entry at that address count for nothing, so that its open work was not seen. Messages were sent to port 0, to groups, and to this entry itself, whose own work then counted twice.

Cause: addresses were parsed only, and whoever gave up an address took it from all.

Change: the address must be that of another host with a port above 0. One that an entry gives up goes back to another entry that has it too.

Measured: the test passes, also with the race detector.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -136,6 +136,9 @@
 	if err == nil {
 		addr, err = netip.ParseAddrPort(m.Address)
 	}
+	if err == nil && !isReachable(addr, g.cfg.Address) {
+		err = errAddress
+	}
 	if err != nil {
 		g.cfg.Log.Error().Err(err).Str("key", o.Key).Msg("gossiper: address of an entry cannot be decoded and is ignored")
 		return
@@ -147,7 +150,7 @@
 		if old.addr == addr && old.place == place {
 			return
 		}
-		delete(g.byAddr, old.addr)
+		g.release(model.InstanceID(name), old)
 	}
 	e := &member{addr: addr, place: place, lastHeard: now, crossRegion: m.Region != g.cfg.Place.Region}
 	g.members[model.InstanceID(name)] = e
@@ -155,6 +158,30 @@
 	g.cfg.Log.Info().Str("entry", name).Str("address", m.Address).Msg("gossiper: address of another entry learned")
 }
 
+var errAddress = errors.New("address is not that of another host and port")
+
+// isReachable reports whether messages can be sent to an address without reaching this entry itself or many hosts.
+func isReachable(addr netip.AddrPort, own string) bool {
+	ip := addr.Addr()
+	return addr.Port() != 0 && ip.Zone() == "" && !ip.IsUnspecified() && !ip.IsMulticast() && ip != broadcastIP && addr.String() != own
+}
+
+var broadcastIP = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// release gives the address of an entry that moves back to another one that has it too, if there is one; the caller
+// holds the lock.
+func (g *Gossiper) release(id model.InstanceID, old *member) {
+	if g.byAddr[old.addr] != old {
+		return
+	}
+	delete(g.byAddr, old.addr)
+	for other, m := range g.members {
+		if other != id && m.addr == old.addr {
+			g.byAddr[old.addr] = m
+		}
+	}
+}
+
 // Members returns the other entries of all regions, with the address at which they are reached.
 func (g *Gossiper) Members() []model.Instance {
 	g.mu.RLock()
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +17,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/standin"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -207,3 +211,45 @@
 		}
 	})
 }
+
+// TestOddMemberSilencesOthers checks that the address of an entry that another writer left odd names no entry, and that
+// the messages of the other entries count.
+func TestOddMemberSilencesOthers(t *testing.T) {
+	type memberCase struct {
+		Name               string
+		Put, Then, Finally map[string]string
+		Heard, Want        []string
+	}
+	for _, c := range tester.Load[memberCase](t, "members.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			g := New(Config{Self: "e0", Address: "10.1.0.9:7", Place: model.Place{Region: "lake"}, SharedKind: "marks", Log: zerolog.Nop()})
+			now := time.Unix(1000, 0)
+			for _, put := range []map[string]string{c.Put, c.Then, c.Finally} {
+				for id, value := range put {
+					value = strings.ReplaceAll(value, "{deep}", strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000))
+					g.UpdateMember(storer.Object{Key: "marks/entry." + id, Value: []byte(value)}, now)
+				}
+			}
+			for _, from := range c.Heard {
+				if err := g.handleMessage(encodeWork(map[model.BackendID]OpenWork{"b": {Unanswered: 1}}), netip.MustParseAddrPort(from), now); err != nil {
+					t.Error(err)
+				}
+			}
+			got := []string{}
+			for id, m := range g.members {
+				if len(m.work) > 0 {
+					got = append(got, string(id))
+				}
+			}
+			slices.Sort(got)
+			if diff := cmp.Diff(c.Want, got); diff != "" {
+				t.Errorf("entries whose work is known (-want +got):\n%s", diff)
+			}
+			for _, m := range g.Members() {
+				if !slices.Contains([]string{"10.1.0.1:7", "10.1.0.2:7"}, m.Control) {
+					t.Errorf("%s counts as an entry", m.Control)
+				}
+			}
+		})
+	}
+}
