--- a/internal/follower/odd_test.go
+++ b/internal/follower/odd_test.go
@@ -213,3 +213,54 @@
 	}
 	to.applyReply(poll{changes: true}, reply)
 }
+
+// TestOddObjectStopsFollowing checks that an object of any kind that cannot be decoded leaves the last plan in force and
+// its keys fresh, and that what comes beside and after it is followed.
+func TestOddObjectStopsFollowing(t *testing.T) {
+	for _, c := range tester.Load[oddCase](t, "objects.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			server := httptest.NewServer(oddStore{Store: store, odd: strings.NewReplacer(`"`+oddMark+`"`, c.text())})
+			t.Cleanup(server.Close)
+			set := func(key string, value any) {
+				t.Helper()
+				if err := store.Set(key, value); err != nil {
+					t.Fatal(err)
+				}
+			}
+			publish := func(version int) {
+				t.Helper()
+				if err := store.Publish(standin.Plan{Version: version}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			publish(1)
+			f := newPlatformFollower(t, store, zerolog.Nop())
+			f.cfg.Store = platform.NewStore(server.Listener.Addr().String())
+			runUntilEnd(t, f)
+			await(t, "the lists", applyWithin, func() bool { return isReady(f) })
+			for _, key := range []string{"config/main", "config/odd", "rollouts/odd", "marks/odd"} {
+				set(key, oddMark)
+			}
+			set("rollouts/svc", map[string]any{"service": "svc", "target": "v2", "duration-s": 12})
+			set("marks/sound", 1)
+			await(t, "the order and the shared object", applyWithin, func() bool {
+				o, _ := f.Order("svc")
+				_, ok := f.SharedObject("marks/sound")
+				return ok && o.Version == "v2"
+			})
+			asked := f.cfg.Clock()
+			await(t, "keys that were confirmed since", applyWithin, func() bool {
+				now := f.cfg.Clock()
+				fresh, age := f.KeysFresh(now)
+				return fresh && now-age > asked
+			})
+			if diff := cmp.Diff(int64(1), f.Plan().Version); diff != "" {
+				t.Errorf("version in force (-want +got):\n%s", diff)
+			}
+			publish(2)
+			await(t, "the next plan", applyWithin, func() bool { return f.Plan().Version == 2 })
+		})
+	}
+}
