Ignore load reports with numbers that no backend server has

What callers would see: a load of running and as many waiting requests overflowed to a negative one, and a negative load counted as free room, so that the faulty backend server looked idle.

Cause: the numbers were parsed, their values taken as they are. Found while looking for the cause of absurd entries elsewhere.

Change: negative numbers, and more requests than a backend server can hold, are no report.

--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -21,6 +21,8 @@
 	sweepInterval = time.Second
 	// reportMaxAge is how long a load report is used; the reported load lasts about as long.
 	reportMaxAge = 2 * time.Second
+	// maxReported is more requests than a backend server can hold.
+	maxReported = 1 << 20
 	// cacheLifetime is how long an engine is assumed to keep the shared prefix of a prompt in its cache.
 	cacheLifetime = 15 * time.Second
 )
@@ -211,7 +213,7 @@
 	}
 	r, err := strconv.Atoi(strings.TrimSpace(running))
 	w, err2 := strconv.Atoi(strings.TrimSpace(waiting))
-	if err != nil || err2 != nil {
+	if err != nil || err2 != nil || min(r, w) < 0 || max(r, w) > maxReported {
 		return
 	}
 	p.mu.Lock()
