Refuse no request as not run that may have run and finds no server

What callers saw: 503, "not run, try again", for a request whose answer was dropped for a larger model's, or whose reused connection broke, if no backend server was left for the next attempt: gone, resting, or the entry stopped. On a route whose requests may run once, and where models are escalated, that is a broken promise (REFUSED).

Cause: an attempt that fails states whether the request may have run, but the reasons for making no further attempt do not. They come from the state of the servers and of the entry, and replaced or preceded that statement. The class: "not run" was decided in each place that refuses.

The end of runAttempts is now the one place through which all refusals of a request that was taken on pass. There, a request that may have run is never told as not run, whatever the reason.

--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -361,10 +361,12 @@
 	sized := route("sized", model.RetryResume, true)
 	sized.Models = []model.ModelID{"small", "large"}
 	sized.Split = []model.PlanShare{{Service: "engines", Weight: 1}}
+	sizedOnce := sized
+	sizedOnce.Route, sizedOnce.Prefix, sizedOnce.RetryPolicy = "sizedonce", "/sizedonce/", model.RetryNever
 	return &model.Plan{
 		Version: 1,
 		Routes: []model.PlanRoute{
-			sized,
+			sized, sizedOnce,
 			route("safe", model.RetryIdempotent, false), route("never", model.RetryNever, false), route("public", model.RetryIdempotent, false),
 			route("stream", model.RetryResume, true), route("once", model.RetryNever, true),
 		},
@@ -385,12 +387,12 @@
 	done           chan error
 }
 
-func startEntry(t *testing.T, state *fakeState) *entry {
+func startEntry(t *testing.T, state PlatformState) *entry {
 	t.Helper()
 	return startEntryWith(t, state, fakeQuarantine{})
 }
 
-func startEntryWith(t *testing.T, state *fakeState, q Quarantine) *entry {
+func startEntryWith(t *testing.T, state PlatformState, q Quarantine) *entry {
 	t.Helper()
 	f := New(Config{
 		Settings: model.DirectSettings{
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -120,6 +120,10 @@
 		f.recordBreakOff(c, last)
 		out.abort()
 	}
+	if c.mayHaveRun && last.Run == model.RunNo {
+		// The reason why it is not sent again does not know of earlier attempts.
+		last = last.WithRun(model.RunUnknown)
+	}
 	f.refuse(w, c, last)
 }
 
