Believe only a refusal that says that the request did not run

What callers saw: a request that must run once ran at a second backend server (TWICE), or was refused with 503 (REFUSED), when the first one answered it with the not-run header on a success, a redirection or an informational head, as a server does that mixes an earlier refusal into its answers.

Cause: the header counted by itself, before the status was looked at. The class: two statements of one answer contradict each other, and the one that allows more was believed. Now the header counts only with a status of 400 or above; with any other the attempt is broken, and the request may have run.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -54,6 +54,7 @@
 	errForeignAnswer = errors.New("the answer belongs to another request")
 	errNoRequestID   = errors.New("the answer on a reused connection names no request")
 	errUnsealed      = errors.New("the answer lacks the backend server's seal")
+	errNoRefusal     = errors.New("the answer says not run, but it is no refusal")
 	errEncoded       = errors.New("the answer is encoded, which the request did not ask for")
 )
 
@@ -216,6 +217,8 @@
 	switch {
 	case rep.StatusCode == http.StatusMisdirectedRequest:
 		return &failure{kind: failureMisdirected, cause: errors.New("another backend server has the address")}
+	case h.Get(n.NotRun) != "" && rep.StatusCode < http.StatusBadRequest:
+		return &failure{kind: failureBroken, cause: errNoRefusal}
 	case h.Get(n.NotRun) != "":
 		return &failure{kind: failureNotRun, cause: fmt.Errorf("status %d, not run", rep.StatusCode), retry: parseRetryAfter(h), resting: rep.StatusCode == http.StatusServiceUnavailable}
 	case h.Get("Content-Encoding") != "":
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -216,6 +216,10 @@
 		fmt.Fprint(c, answer(req, "", "answer"))
 		_, _ = r.Peek(1)
 		reset(c)
+	case "raw":
+		// The text after the word, with bars for the ends of lines.
+		fmt.Fprint(c, strings.NewReplacer("|", "\r\n", "{id}", id).Replace(rest))
+		return true
 	case "unsealed":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "answer"), "Seal: s\r\n", "", 1))
 		return true
