Take a backend server's load from answers to the present request only

What callers saw: after a server had written an old refusal once more, requests were placed for two seconds as if it were as full as it was then, although its true answer said nothing of the kind; and where another server had taken over the address, by the load of that one.

Cause: the load was read from every head before it was known whose answer it is, unlike the limit and the rest. The class: a second way to the same knowledge that does not ask the same question. The load is read with the other announcements now.

That the rest and the limit of a repeated refusal bind nobody, it held before.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -131,9 +131,6 @@
 			return fail
 		}
 		rep.Response = resp
-		if load := resp.Header.Get(n.Load); load != "" {
-			rep.peer.recordLoad(load, time.Now())
-		}
 		id := resp.Header.Get(n.Request)
 		unnamed := id == "" && (rep.conn.reused || foreign > 0)
 		f.observeAnnouncement(rep, !unnamed && (id == "" || id == c.id), time.Now())
@@ -160,7 +157,7 @@
 }
 
 // observeAnnouncement records what a backend server says of itself in an answer. An answer that is not to this request
-// may be a late copy: its limit or rest may be old, but a server that leaves does not take that back.
+// may be a late copy: its load, limit or rest may be old, but a server that leaves does not take that back.
 func (f *Forwarder) observeAnnouncement(rep *reply, matched bool, now time.Time) {
 	if rep.StatusCode == http.StatusMisdirectedRequest {
 		// Another backend server answered.
@@ -168,6 +165,9 @@
 	}
 	n := limiter.Announcement{Leaving: rep.Header.Get(f.cfg.Names.Leaving) != ""}
 	if matched {
+		if load := rep.Header.Get(f.cfg.Names.Load); load != "" {
+			rep.peer.recordLoad(load, now)
+		}
 		f.readLimit(rep, &n)
 		n.Rest, n.RestKnown = f.readRest(rep), true
 	}
--- a/internal/forwarder/repeats_test.go
+++ b/internal/forwarder/repeats_test.go
@@ -292,6 +292,12 @@
 	if diff := cmp.Diff(limiter.Permission{}, e.cfg.Announcements.Check(server, time.Now())); diff != "" && foreign {
 		t.Errorf("the refusal binds its backend server (-want +got):\n%s", diff)
 	}
+	p.mu.Lock()
+	load := []int{p.running, p.waiting}
+	p.mu.Unlock()
+	if diff := cmp.Diff([]int{0, 0}, load); diff != "" && foreign {
+		t.Errorf("load of the backend server (-want +got):\n%s", diff)
+	}
 	if firsts, _ := s.seen("first"); kept && (len(conns) == 0 || !slices.Contains(firsts, conns[0])) {
 		return false
 	}
