Let the transport repeat no call without a body that must run once

What callers saw: a GET, HEAD, OPTIONS or TRACE that the service's document lists as one that may not run twice ran twice at its backend server, if the server took it and closed a connection that had been used before. The caller got the answer of the second run, and nothing said that there was a first.

Cause: net/http repeats such calls by itself when a reused connection closes before an answer. Without GetBody it does not repeat calls with a body, as the agent's comment says, but those without one need none. The class: a lower layer decides on its own what may be sent again. Such a call now gets an empty body that cannot be rewound; the transport reads it before it sends the call, so that nothing of it is sent (a TRACE announces an empty body in chunks). Calls that may run twice are repeated as before.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -85,6 +85,10 @@
 	}
 	// Without GetBody the transport cannot repeat a call on its own.
 	req.GetBody = nil
+	if len(w.Body) == 0 && !w.Idempotent && isReplayed(w.Method) {
+		// It also repeats these without a body, but not with one that it cannot rewind, even if that is empty.
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	}
 	if w.ContentType != "" {
 		req.Header.Set("Content-Type", w.ContentType)
 	}
@@ -92,6 +96,15 @@
 	return b.http.Do(req)
 }
 
+// isReplayed reports whether the transport repeats calls with the method after a reused connection closed.
+func isReplayed(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 func (b *backend) callRefusal(r *run, err error) *model.Refusal {
 	if errors.Is(r.ctx.Err(), context.DeadlineExceeded) {
 		return model.Refuse(model.KindDeadline, "the deadline passed while the request ran: allow more time").WithRun(model.RunUnknown)
