--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -216,7 +216,7 @@
 		fmt.Fprint(c, answer(req, "", "answer"))
 		_, _ = r.Peek(1)
 		reset(c)
-	case "raw":
+	case "bytes":
 		// The text after the word, with bars for the ends of lines.
 		fmt.Fprint(c, strings.NewReplacer("|", "\r\n", "{id}", id).Replace(rest))
 		return true
--- a/internal/forwarder/unsent_test.go
+++ b/internal/forwarder/unsent_test.go
@@ -74,7 +74,7 @@
 				"rests": func() {
 					e.cfg.Announcements.Observe(servers[0].Lifetime(), limiter.Announcement{Rest: time.Minute, RestKnown: true}, time.Now())
 				},
-				"stops": func() { now := time.Now(); e.cutAt.Store(&now) },
+				"stops": func() { now := time.Now(); e.Forwarder.stop.Store(&stopPlan{closeAt: now, cutAt: now, exitAt: now}) },
 			}[c.Event]
 			state.mu.Unlock()
 			got := postPrompt(t, e, "/"+c.Route+"/a", "request-2", "")
