Take no stream late in a stop unless its time limit ends first

Callers on kept connections still had streams accepted over three seconds after SIGTERM and cut at the end of the grace period. Cause: the bound on tokens that callers name is multiplied by a mean pace; engines differ by a factor of three to five, and become slower under load. Change: from half a second before the listener closes, when the load balancer has left the entry out, a stream is taken only if its time limit ends before the stop does. Answers that are not forwarded as they come can be refused at the end and go by their estimate as before. The bound on tokens is gone, and the row of a late stream that fits with it, since it does not bound. Measured: go test -race of the tests of stops passes.

--- a/internal/admitter/stopping.go
+++ b/internal/admitter/stopping.go
@@ -13,24 +13,26 @@
 type StopInput struct {
 	// Remaining is the time until the entry cuts what still runs.
 	Remaining time.Duration
-	// Expected is the time to the end of the request's answer, Longest that of the longest answer that the caller allows,
-	// and Limit the time until the caller's time limit, which ends the request in any case.
-	Expected, Longest, Limit time.Duration
+	// Expected is the time to the end of the request's answer, and Limit the time until its time limit, which ends it in
+	// any case.
+	Expected, Limit time.Duration
+	// Stream means that the answer is forwarded as it comes, so that it can no longer be refused once it has begun.
+	Stream bool
 	// Elsewhere means that a caller who returns reaches another entry, since the load balancer has left this one out.
 	Elsewhere bool
 }
 
 // FinishesBeforeStop reports whether an entry that stops is to take a request. It is made for rolling restarts under
 // load: answers may take as long as the grace period, and another entry can serve a request that was refused before it
-// ran. As long as callers may come back to the same entry, the estimate decides; afterwards only what cannot be cut is
-// taken, since estimates of callers are often far too low.
+// ran. As long as callers may come back to the same entry, the estimate decides; afterwards no stream is taken that
+// could be cut, since the length that its caller expects and the pace of its engine are often far off.
 func FinishesBeforeStop(in StopInput) bool {
 	switch {
 	case in.Remaining < 0:
 		return false
 	case in.Limit <= in.Remaining:
 		return true
-	case in.Elsewhere && in.Longest > in.Remaining:
+	case in.Stream && in.Elsewhere:
 		return false
 	}
 	return in.Expected <= UsableTime(in.Remaining)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,6 +28,8 @@
 	// unreadyDelay is how long an entry still accepts connections after it reports that it is not ready. The load
 	// balancer checks readiness every second and needs two failed checks.
 	unreadyDelay = 3 * time.Second
+	// unlistedTime is how long before it closes its listener an entry can rely on having been left out.
+	unlistedTime = 500 * time.Millisecond
 	// exitMargin is how long before the end of the grace period, when the process is killed, shutdown must end.
 	exitMargin = 200 * time.Millisecond
 	// refusalTime is how long before that the requests which still run are ended, so that their refusals arrive.
@@ -134,16 +136,17 @@
 	cut     context.CancelCauseFunc
 }
 
-// stopPlan holds the times of an entry's stop: when it stops accepting connections, when it ends the requests that still
-// run, and when it closes what is left.
+// stopPlan holds the times of an entry's stop: when the load balancer has left it out, when it stops accepting
+// connections, when it ends the requests that still run, and when it closes what is left.
 type stopPlan struct {
-	closeAt, cutAt, exitAt time.Time
+	unlistedAt, closeAt, cutAt, exitAt time.Time
 }
 
 // planStop returns the times of a stop that begins at now.
 func planStop(grace time.Duration, now time.Time) stopPlan {
 	exitAt := now.Add(grace - exitMargin)
-	return stopPlan{closeAt: now.Add(min(unreadyDelay, grace/2)), cutAt: exitAt.Add(-refusalTime), exitAt: exitAt}
+	closeAt := now.Add(min(unreadyDelay, grace/2))
+	return stopPlan{unlistedAt: closeAt.Add(-unlistedTime), closeAt: closeAt, cutAt: exitAt.Add(-refusalTime), exitAt: exitAt}
 }
 
 // errCut is why a request ends that still runs at the end of its entry's grace period.
@@ -271,7 +274,7 @@
 func (f *Forwarder) canFinish(c *call, now time.Time) bool {
 	p := f.stop.Load()
 	return p == nil || admitter.FinishesBeforeStop(admitter.StopInput{
-		Remaining: p.cutAt.Sub(now), Expected: c.expected, Longest: c.longest, Limit: c.deadline.Sub(now), Elsewhere: !now.Before(p.closeAt),
+		Remaining: p.cutAt.Sub(now), Expected: c.expected, Limit: c.deadline.Sub(now), Stream: c.route.Stream, Elsewhere: !now.Before(p.unlistedAt),
 	})
 }
 
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -117,10 +117,7 @@
 	if !choice.Found {
 		return nil, false
 	}
-	c.prefillTime, c.inFlight, c.expected, c.longest = 0, choice.Busy, c.route.LatencyTarget, c.route.LatencyTarget
-	if c.route.Stream {
-		c.longest = c.deadline.Sub(now)
-	}
+	c.prefillTime, c.inFlight, c.expected = 0, choice.Busy, c.route.LatencyTarget
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Float64("load", choice.Load).Int("open", choice.Eligible).Int("sent", c.sent).Msg("forwarder: placed")
 	return f.peers.get(choice.Server, now), true
@@ -162,10 +159,6 @@
 	}
 	c.inFlight = choice.Busy
 	c.expected = choice.Wait + f.speeds.estimateAnswer(c.model, c.service.Engine, c.prompt.outputTokens)
-	c.longest = c.deadline.Sub(now)
-	if c.prompt.maxOutputTokens > 0 {
-		c.longest = choice.Wait + f.speeds.estimateAnswer(c.model, c.service.Engine, c.prompt.maxOutputTokens)
-	}
 	c.uncontended = choice.Wait-c.prefillTime < uncontendedWait
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Str("model", string(c.model)).Str("session", c.session).Dur("wait", choice.Wait).Dur("read", c.prefillTime).Bool("kept", choice.PrefixCached).
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -52,9 +52,8 @@
 	// that the prompt does not have to wait for others.
 	prefillTime time.Duration
 	uncontended bool
-	// expected is how long the answer is expected to take from now on, at the current backend server, and longest how
-	// long the longest takes that the caller allows.
-	expected, longest time.Duration
+	// expected is how long the answer is expected to take from now on, at the current backend server.
+	expected time.Duration
 	// inFlight is the number of running and waiting requests at that backend server when it was chosen.
 	inFlight int
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
@@ -85,9 +84,8 @@
 // prompt describes a request's prompt, as given by its headers.
 type prompt struct {
 	tokens int
-	// outputTokens is the expected number of tokens in the answer, maxOutputTokens the most that the caller allows; 0 if
-	// unknown.
-	outputTokens, maxOutputTokens int
+	// outputTokens is the expected number of tokens in the answer.
+	outputTokens int
 	// sharedPrefix identifies the longest prefix that other requests share, sharedTokens is its length.
 	sharedPrefix string
 	sharedTokens int
@@ -250,7 +248,6 @@
 	}
 	if n, err := strconv.Atoi(strings.TrimSpace(out)); err == nil {
 		p.outputTokens = max(n, 0)
-		p.maxOutputTokens = p.outputTokens
 	}
 	return p
 }
--- a/internal/forwarder/stopping_test.go
+++ b/internal/forwarder/stopping_test.go
@@ -27,9 +27,8 @@
 	}
 	type stoppingCase struct {
 		Name string
-		// Length is the caller's estimate of the answer's length in tokens; Most is the most that it allows, 0 if it
-		// does not say.
-		Length, Most int
+		// Length is the caller's estimate of the answer's length in tokens.
+		Length int
 		// Limit is the caller's time limit in milliseconds, 0 for none.
 		Limit int
 		// Late means that the request comes on a connection that was opened before the listener closed, after that.
@@ -60,9 +59,6 @@
 			r.Header.Set("Id", "request-1")
 			r.Header.Set("Authorization", "Key good")
 			r.Header.Set("Length", fmt.Sprint(c.Length))
-			if c.Most > 0 {
-				r.Header.Set("Usage", fmt.Sprint("100,", c.Most))
-			}
 			if c.Limit > 0 {
 				r.Header.Set("Time-Left", fmt.Sprint(c.Limit))
 			}
