Accept the connections that wait before a stop closes the listener

Callers whose connection was established but not yet accepted when a stop closed the listener were reset, although their request may have been sent. Cause: closing a listener resets the connections in its queue. Change: the stop waits until the queue is empty, for at most half a second. Measured: TestStopResetsConnectionBeforeAccept failed before (reset, two of two) and passes with -race.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/meter"
+	"github.com/bramleyhinge/bramleyhinge/internal/peeker"
 )
 
 // Limits bounds what a caller may send and how long it may take.
@@ -162,6 +163,7 @@
 	a.mu.Unlock()
 	var errs []error
 	if l != nil {
+		awaitAccepted(ctx, l)
 		errs = append(errs, l.Close())
 		select {
 		case <-a.accepted:
@@ -184,6 +186,29 @@
 	return errors.Join(errs...)
 }
 
+const (
+	// acceptCheckInterval is how often a shutdown checks whether connections wait to be accepted, maxAcceptWait how long
+	// it waits for them: without free descriptors none is accepted until connections are closed.
+	acceptCheckInterval = time.Millisecond
+	maxAcceptWait       = 500 * time.Millisecond
+)
+
+// awaitAccepted waits until no connection waits to be accepted: closing the listener would reset those that do, and
+// their callers may have sent a request already.
+func awaitAccepted(ctx context.Context, l net.Listener) {
+	ctx, cancel := context.WithTimeout(ctx, maxAcceptWait)
+	defer cancel()
+	t := time.NewTicker(acceptCheckInterval)
+	defer t.Stop()
+	for peeker.HasPending(l) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // quietCheckInterval is how often a shutdown checks which connections are idle.
 const quietCheckInterval = 20 * time.Millisecond
 
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -249,6 +249,40 @@
 	f.awaitStop(done)
 }
 
+// TestStopResetsConnectionBeforeAccept: a connection with a request waits to be accepted when the stop begins.
+func TestStopResetsConnectionBeforeAccept(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken, pass := make(chan struct{}), make(chan struct{})
+	var accepted atomic.Int64
+	a := New(Config{Meter: meter.New(), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") }), Limits: func() Limits {
+		// The limits are read between one accept and the next.
+		if accepted.Add(1) == 1 {
+			close(taken)
+			<-pass
+		}
+		return Limits{}
+	}})
+	f := &runningAcceptor{Acceptor: a, t: t, address: l.Addr().String(), served: make(chan error, 1)}
+	go func() { f.served <- a.Serve(l) }()
+	first := f.dial()
+	<-taken
+	c := f.dial()
+	fmt.Fprint(c, "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	done := f.startStop()
+	time.Sleep(5 * quietCheckInterval)
+	close(pass)
+	if n, err := readWhole(c); err != nil || n != len("answer") {
+		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
+	}
+	c.Close()
+	first.Close()
+	f.awaitStop(done)
+}
+
 // TestLinger checks when a connection that is closed on the entry's side may be released.
 func TestLinger(t *testing.T) {
 	type lingerCase struct {
--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -29,6 +29,25 @@
 	return n, err
 }
 
+// HasPending reports whether connections that a listener's host has established wait to be accepted.
+func HasPending(l net.Listener) bool {
+	pending := false
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = rc.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		pending = err == nil && n > 0
+	})
+	return err == nil && pending
+}
+
 // Unacknowledged returns how many sent bytes the peer's host has not confirmed yet, or 0 if that cannot be known.
 func Unacknowledged(c net.Conn) int {
 	sc, ok := c.(syscall.Conn)
