Do not give up a silent backend server for one that cannot take over

Callers lost the rest of a stream in a pause of its backend server although no other could continue it: the stream had an event without an id, or all others were full and turned the request away. Cause: the question whether another attempt is possible looked at attempts and breakers only. Change: a stream that cannot be resumed any more is waited for, and backend servers whose last report says that their slots are taken do not count. Not mended: without a fresh report the other may still turn the request away, and several streams may count on the same rest of the retry budget.

--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -288,7 +288,7 @@
 		// The status and the lines of the head are separated by bars, two bars separate them from the body.
 		head, body, _ := strings.Cut(rest, "||")
 		fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\n\r\n%s", strings.ReplaceAll(head, "|", "\r\n"), id, body)
-	case "events", "slowevents", "pause", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
+	case "events", "slowevents", "pause", "pausenoid", "bigevents", "comments", "drip", "cut", "halfevent", "endless":
 		return b.stream(c, r, id, word, rest)
 	default:
 		b.t.Errorf("unknown reply %q", reply)
@@ -317,17 +317,21 @@
 		if word == "slowevents" && n > from {
 			time.Sleep(minSilenceLimit * 3 / 4)
 		}
-		if word == "pause" && n == from+1 {
+		if strings.HasPrefix(word, "pause") && n == from+1 {
 			time.Sleep(minSilenceLimit + 500*time.Millisecond)
 		}
 		padding := ""
 		if word == "bigevents" {
 			padding = strings.Repeat("x", 512<<10)
 		}
+		if word == "pausenoid" {
+			chunk(fmt.Sprintf("data: %d\n\n", n))
+			continue
+		}
 		chunk(fmt.Sprintf("id: %d\ndata: %d%s\n\n", n, n, padding))
 	}
 	switch word {
-	case "events", "slowevents", "pause", "bigevents":
+	case "events", "slowevents", "pause", "pausenoid", "bigevents":
 		fmt.Fprint(c, "0\r\n\r\n")
 		return true
 	case "comments", "drip":
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -221,11 +221,12 @@
 	p.running, p.waiting, p.reportedAt, p.sentSinceReport, p.doneSinceReport = r, w, now, 0, 0
 }
 
-// isBroken reports whether the peer's breaker is open.
-func (p *peer) isBroken(now time.Time) bool {
+// maySend reports whether the peer's breaker is closed and its last report does not say that its slots are taken.
+func (p *peer) maySend(slots int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.breaker.IsOpen(now)
+	full := now.Sub(p.reportedAt) < reportMaxAge && p.running+p.waiting >= slots
+	return !full && !p.breaker.IsOpen(now)
 }
 
 func (p *peer) succeeded() {
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -1,8 +1,6 @@
 package forwarder
 
-import (
-	"time"
-)
+import "time"
 
 // silenceCheckInterval is how often an attempt that goes on although its backend server is silent is reconsidered.
 const silenceCheckInterval = time.Second
@@ -26,16 +24,17 @@
 	return cn.SetReadDeadline(until) == nil
 }
 
-// hasAlternative reports whether the request may be sent to a backend server other than p.
+// hasAlternative reports whether the request may be sent to a backend server other than p that is not known to be
+// broken or full.
 func (f *Forwarder) hasAlternative(c *call, p *peer, now time.Time) bool {
-	if !isRetryable(c) || c.sent >= c.route.Attempts || !f.retryBudget.CanRetry(c.service.Service, 0, now) {
+	if !isRetryable(c) || c.unresumable || c.sent >= c.route.Attempts || !f.retryBudget.CanRetry(c.service.Service, 0, now) {
 		return false
 	}
 	for _, s := range f.candidates(c, now) {
 		if s.Backend == p.server.Backend || !f.cfg.Announcements.Check(s, now).Allowed() {
 			continue
 		}
-		if !f.peers.get(s, now).isBroken(now) {
+		if f.peers.get(s, now).maySend(s.Slots, now) {
 			return true
 		}
 	}
--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -93,6 +93,7 @@
 	type silenceCase struct {
 		Name, Path        string
 		Attempts, Servers int
+		Full              bool
 		Replies           []string
 		Result            `yaml:",inline"`
 	}
@@ -104,7 +105,14 @@
 			for i := range plan.Routes {
 				plan.Routes[i].Timeout, plan.Routes[i].Attempts = 10*time.Second, c.Attempts
 			}
-			e := startEntry(t, &fakeState{plan: plan, servers: b.start(c.Servers)})
+			servers := b.start(c.Servers)
+			e := startEntry(t, &fakeState{plan: plan, servers: servers})
+			for _, s := range servers {
+				if c.Full {
+					// The report is as of a time shortly before the question comes up.
+					e.peers.get(s, time.Now()).recordLoad(fmt.Sprint(s.Slots, ",0,", s.Slots), time.Now().Add(minSilenceLimit/2))
+				}
+			}
 			resp := e.post(t, c.Path, "body")
 			body, err := io.ReadAll(resp.Body)
 			if err != nil {
