Reset an idle connection that a request crosses instead of reading it

Change: what arrives on a connection that was closed while idle stays in the socket, if the caller has its last answer; its id is taken by a peek, and the connection is released at once, which resets it. The stop need not wait a second for such callers either. The callers of TestShutdownOfAllGenerations close their side, since the stop waits for them.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -40,7 +40,7 @@
 		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a.example\r\n\r\n", path)
 		return c
 	}
-	dial("/long")
+	older := dial("/long")
 	for end := time.Now().Add(2 * time.Second); served.Load() < 1 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
@@ -59,6 +59,9 @@
 		t.Errorf("a request that came after the stop was answered with status %d", resp.StatusCode)
 	}
 	close(release)
+	// Their callers close their side, so that the stop need not wait for it.
+	newer.Close()
+	older.Close()
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -151,20 +151,31 @@
 	}
 }
 
-// linger reads what the caller still sends and closes the connection when it may. Bytes that follow the closing of an
-// idle connection are a request that crossed it.
+// linger waits until the connection may be closed on both sides, and closes it. What the caller still sends is read,
+// so that no reset drops what it has yet to receive. Bytes that follow the closing of an idle connection are a request
+// that crossed it: they stay unread once the caller has its last answer, and the reset says so.
 func (c *callerConn) linger(idle bool) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	defer c.released(c)
-	var crossed bytes.Buffer
 	b := make([]byte, crossedBytes)
 	start := time.Now()
 	for {
-		// An error means that the connection is closed, which the read reports as well.
+		// An error means that the connection is closed, which the next call reports as well.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-		n, err := c.Conn.Read(b)
-		crossed.Write(b[:min(n, crossedBytes-crossed.Len())])
+		n, err := peeker.Await(c.Conn, b)
+		if idle && n > 0 {
+			c.logCrossed(requestID(b[:n], c.cfg.RequestHeader))
+			if peeker.Unacknowledged(c.Conn) <= finLength {
+				break
+			}
+			idle = false
+		}
+		if n > 0 || errors.Is(err, errors.ErrUnsupported) {
+			_, err = c.Conn.Read(b)
+		} else if err == nil {
+			err = io.EOF
+		}
 		if isLingerOver(err, peeker.Unacknowledged(c.Conn), time.Since(start)) {
 			break
 		}
@@ -173,9 +184,18 @@
 		}
 	}
 	_ = c.Conn.Close()
-	if r, err := http.ReadRequest(bufio.NewReader(&crossed)); idle && err == nil {
-		c.logCrossed(r.Header.Get(c.cfg.RequestHeader))
+}
+
+// finLength is what the end of the entry's side itself counts in a connection's sequence numbers.
+const finLength = 1
+
+// requestID returns the id of a request that begins with b, or the empty string if b does not hold its head.
+func requestID(b []byte, header string) string {
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(b)))
+	if err != nil {
+		return ""
 	}
+	return r.Header.Get(header)
 }
 
 // isLingerOver reports whether a connection whose own side is closed may be closed on both: the caller has closed its
--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -283,6 +283,36 @@
 	f.awaitStop(done)
 }
 
+// TestStopReadsRequestThatCrossedClose: a caller sends its next request after the stop has closed its idle connection;
+// the reset tells it that nobody has read the request.
+func TestStopReadsRequestThatCrossedClose(t *testing.T) {
+	t.Parallel()
+	var served atomic.Int64
+	f := startAcceptor(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		served.Add(1)
+		fmt.Fprint(w, "answer")
+	})
+	c := f.dial()
+	const request = "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n"
+	fmt.Fprint(c, request)
+	if _, err := readWhole(c); err != nil {
+		t.Fatal(err)
+	}
+	done := f.startStop()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the stop did not close the idle connection: %v", err)
+	}
+	fmt.Fprint(c, request)
+	f.awaitStop(done)
+	time.Sleep(quietCheckInterval)
+	if _, err := fmt.Fprint(c, request); err == nil {
+		t.Error("the connection was not reset")
+	}
+	if diff := cmp.Diff(int64(1), served.Load()); diff != "" {
+		t.Errorf("requests that ran (-want +got):\n%s", diff)
+	}
+}
+
 // TestLinger checks when a connection that is closed on the entry's side may be released.
 func TestLinger(t *testing.T) {
 	type lingerCase struct {
--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -29,6 +29,28 @@
 	return n, err
 }
 
+// Await waits until bytes arrive at a socket, its peer closes its side or its read deadline passes, and copies the bytes
+// without reading them. It returns 0 and no error if the peer has closed its side.
+func Await(c net.Conn, b []byte) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var peekErr error
+	err = rc.Read(func(fd uintptr) bool {
+		n, _, peekErr = unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(peekErr, unix.EAGAIN)
+	})
+	if err == nil {
+		err = peekErr
+	}
+	return max(n, 0), err
+}
+
 // HasPending reports whether connections that a listener's host has established wait to be accepted.
 func HasPending(l net.Listener) bool {
 	pending := false
