Judge each attempt of a stopping entry by the time that is left, and give refusals time to arrive

Change: every attempt is checked, but for an answer that has begun or was dropped for a larger model, whose time was checked then. Requests are ended half a second before the end of the grace period instead of 0.3 s, and no attempt starts at or past the time limit. The trial with 300 requests was not repeated.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -33,7 +33,7 @@
 	// exitMargin is how long before the end of the grace period, when the process is killed, shutdown must end.
 	exitMargin = 200 * time.Millisecond
 	// refusalTime is how long before that the requests which still run are ended, so that their refusals arrive.
-	refusalTime = 100 * time.Millisecond
+	refusalTime = 300 * time.Millisecond
 	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply until a plan is known.
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -251,7 +251,10 @@
 		// The answer has the status after the word and breaks off in the middle of its chunks.
 		body := strings.Repeat("x", 2*bufferedBodyBytes)
 		fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", rest, id, len(body), body)
-	case "notrun":
+	case "notrun", "latenotrun":
+		if word == "latenotrun" {
+			time.Sleep(800 * time.Millisecond)
+		}
 		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 		return true
 	case "misdirected":
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -61,6 +61,8 @@
 	// needsNewConn requests a new connection after an idle one was dropped; redialled is set once the
 	// request was sent to the same backend server again for that reason.
 	needsNewConn, redialled bool
+	// escalated is set once an answer was dropped for a larger model's, which was expected to end in time.
+	escalated bool
 	// outwaited is set once an attempt went on for longer than a backend server may be silent.
 	outwaited bool
 	// attemptStart is when the current attempt started.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -80,7 +80,7 @@
 			}
 			break
 		}
-		if c.sent == 0 && !f.canFinish(c, now) {
+		if !c.delivered && !c.escalated && !f.canFinish(c, now) {
 			last = model.Refuse(model.KindLeaving, "the entry stops before an answer would be complete: send the request again").WithRetry(stoppingRetry)
 			break
 		}
@@ -168,7 +168,7 @@
 	}
 	c.tried[p.server.Backend] = true
 	refusal := f.failureRefusal(ctx, c, fail)
-	if ctx.Err() != nil || errors.Is(fail.cause, errRetryBudgetSpent) {
+	if ctx.Err() != nil || !now.Before(c.deadline) || errors.Is(fail.cause, errRetryBudgetSpent) {
 		return refusal, false
 	}
 	if fail.kind == failureUnreached {
@@ -274,6 +274,6 @@
 		return false
 	}
 	f.cfg.Meter.Count("steps/"+string(c.route.Route), 1)
-	c.model = next
+	c.model, c.escalated = next, true
 	return true
 }
