Reset the connection of a caller without chunks for every aborted answer

An HTTP/1.0 caller of the own deployment saw the regular end of a connection when its answer broke off; the mend for direct entries was in their data path alone. Change: acceptor sets the connection to be reset when a handler aborts. Measured: TestAbortedAnswerLooksComplete failed before (two of two); go test -race of acceptor, router and the forwarder's tests of answers passes.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -74,6 +74,17 @@
 	a.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.inFlight.Add(1)
 		defer a.inFlight.Add(-1)
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if !r.ProtoAtLeast(1, 1) {
+				// Without chunks, an answer that breaks off would look complete.
+				ResetOnClose(r.Context(), true)
+			}
+			panic(p)
+		}()
 		id := r.Header.Get(cfg.RequestHeader)
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.beginRequest(id) {
 			c.logCrossed(id)
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -163,3 +163,23 @@
 		}
 	}
 }
+
+// TestAbortedAnswerLooksComplete: callers with HTTP/1.0 take the regular end of a connection for the end of an answer.
+func TestAbortedAnswerLooksComplete(t *testing.T) {
+	f := startAcceptor(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "part")
+		// The caller has the part in any case, or the end of the connection alone would tell.
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	})
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		c := f.dial()
+		fmt.Fprintf(c, "GET /a %s\r\nHost: a.example\r\n\r\n", protocol)
+		if n, err := readWhole(c); err == nil {
+			t.Errorf("%s: %d bytes of an aborted answer ended regularly", protocol, n)
+		}
+		c.Close()
+	}
+	f.awaitStop(f.startStop())
+}
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -55,7 +55,11 @@
 
 // complete marks an answer as complete after its last byte.
 func (o *answerWriter) complete() {
-	if o.resetOnClose != nil {
+	if o.resetOnClose == nil {
+		return
+	}
+	// An error means that the caller left.
+	if http.NewResponseController(o.w).Flush() == nil {
 		o.resetOnClose(false)
 	}
 }
