Count an attempt that a reused connection answered with bytes that are no answer

Cause: a reused connection that breaks within 60 ms counted as dropped while idle, also where the backend server had answered with bytes that are no HTTP; such an attempt is not counted and the request is sent again. Change: once a byte of an answer has come, the attempt counts. Measured: TestGarbledAnswerCountsAsDroppedConnection failed before (three arrivals for two, two of two); the tests of dropped connections and refusals pass with -race.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -115,6 +115,9 @@
 	return resp, err
 }
 
+// answered reports whether any byte came since the last call of readResponse.
+func (c *conn) answered() bool { return c.limit.left < maxHeadBytes }
+
 // isUsable reports whether an idle connection may carry another request. If maxIdle is above zero, the
 // connection must have been idle for less than that.
 func (c *conn) isUsable(now time.Time, maxIdle time.Duration) bool {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -127,7 +127,7 @@
 			fail := classifyError(ctx, err)
 			// A reused connection that breaks at once was most likely dropped while it was idle. This is not
 			// certain, so the request is sent again only if it may run twice.
-			fail.dropped = rep.conn.reused && fail.kind == failureBroken && foreign == 0 && time.Since(c.attemptStart) < droppedConnWindow
+			fail.dropped = rep.conn.reused && fail.kind == failureBroken && !rep.conn.answered() && foreign == 0 && time.Since(c.attemptStart) < droppedConnWindow
 			return fail
 		}
 		rep.Response = resp
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -193,6 +193,23 @@
 	}
 }
 
+// TestGarbledAnswerCountsAsDroppedConnection: bytes that are no answer came on a reused connection, so its backend
+// server had the request and the attempt counts.
+func TestGarbledAnswerCountsAsDroppedConnection(t *testing.T) {
+	b := &backends{t: t, replies: []string{"ok", "garbage"}}
+	e := startEntry(t, &fakeState{plan: testPlan(), servers: b.start(1)})
+	var got []int
+	for range 2 {
+		got = append(got, e.post(t, "/safe/a", "body").StatusCode)
+	}
+	if diff := cmp.Diff([]int{200, 502}, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(2, len(b.seen())); diff != "" {
+		t.Errorf("arrivals (-want +got):\n%s", diff)
+	}
+}
+
 // TestLongAnswerBreaksOff checks that a long answer that breaks off fails visibly for the caller, is not
 // retried, and leaves no request counted as open.
 func TestLongAnswerBreaksOff(t *testing.T) {
