Let the soak's callers write in chunks and pieces, read slowly and send at once

The soak's callers wrote each request with a length and in one write, read each answer at once and paused before the next request. So it could not see what becomes of bodies in chunks, of a head or final chunk that is still under way, of answers that wait in a socket's buffer, or of a request that arrives right after an answer.

A caller now draws a manner for each request: a body with a length or in up to four chunks, head and body in up to four writes, a final chunk up to 400 ms late, slow reading (late, then 4 KB each 8 ms), and the next request without a pause.

The checks of revoked keys and of servers that leave count from the first byte of a request instead of its last one, since an entry decides with the head; for requests in one write both are the same. The check of the answer's time leaves out how long the caller itself waited between its reads, about a second at most.

--- a/internal/soaker/announcements.go
+++ b/internal/soaker/announcements.go
@@ -51,7 +51,7 @@
 	for _, a := range h.Arrivals {
 		r := requests[a.ID]
 		at, ok := told[pair{r.Entry, a.Server}]
-		if late := r.Sent.Sub(at); ok && late > standin.DrainMs*time.Millisecond && !h.isExcusedSince(r.Entry, at, a.At) {
+		if late := r.Begun.Sub(at); ok && late > standin.DrainMs*time.Millisecond && !h.isExcusedSince(r.Entry, at, a.At) {
 			out = append(out, violation{"leaving servers", a.ID, fmt.Sprintf("the request reached %s, sent %v after %s had passed on that the server leaves",
 				a.Server, late.Round(time.Millisecond), r.Entry)})
 		}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -8,12 +8,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bramleyhinge/bramleyhinge/internal/splitter"
 	"github.com/bramleyhinge/bramleyhinge/platform"
 	"github.com/bramleyhinge/bramleyhinge/platform/standin"
@@ -30,8 +31,14 @@
 	Body []byte
 	// LastEvent is the ID of the last event that the caller claims to have received, 0 if none.
 	LastEvent int
-	// Sent is when the caller had written the whole request, Ended when the response ended.
-	Sent, Ended time.Time
+	// Begun is when the caller began to write the request, Sent when it had written all of it, Ended when the response
+	// ended.
+	Begun, Sent, Ended time.Time
+	Manner             manner
+	// Paused is how long the caller waited on purpose while it read the response.
+	Paused time.Duration
+	// Fresh reports that the request is the first one on its connection.
+	Fresh bool
 	// TimeLimit is the time limit that the caller sends.
 	TimeLimit time.Duration
 	// HeadAt is when the head of the response arrived.
@@ -61,8 +68,12 @@
 	part    string
 	nextKey func(now time.Time) string
 	results chan<- record
-	conn    net.Conn
+	// manners draws the manners of the requests.
+	manners *rand.Rand
+	conn    *pacedReader
 	r       *bufio.Reader
+	// fresh is set until the first request on the connection.
+	fresh bool
 }
 
 const (
@@ -82,6 +93,7 @@
 // run sends requests until the context ends.
 func (c *caller) run(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(c.seed, 2))
+	c.manners = rand.New(rand.NewPCG(c.seed, 4))
 	for n := 0; ctx.Err() == nil; n++ {
 		rec := c.newRecord(rng, n)
 		if c.connect() != nil {
@@ -92,7 +104,9 @@
 			c.closeConn()
 		}
 		c.results <- rec
-		time.Sleep(time.Duration(rng.ExpFloat64() * float64(thinkTime)))
+		if pause := time.Duration(rng.ExpFloat64() * float64(thinkTime)); !rec.Manner.Eager || !rec.Complete {
+			time.Sleep(pause)
+		}
 	}
 	c.closeConn()
 }
@@ -100,6 +114,7 @@
 // runOnce sends one request on a connection of its own.
 func (c *caller) runOnce() {
 	rng := rand.New(rand.NewPCG(c.seed, 3))
+	c.manners = rand.New(rand.NewPCG(c.seed, 5))
 	rec := c.newRecord(rng, 0)
 	if c.connect() != nil {
 		return
@@ -117,7 +132,7 @@
 	}
 	rec := record{
 		ID: fmt.Sprintf("%x-%d-%x", c.seed, n, rng.Uint32()), Route: route.Name, Entry: c.entry.Name, Part: c.part,
-		Path: fmt.Sprintf("%s%d", route.Prefix, rng.IntN(100)), TimeLimit: plainTimeLimit,
+		Path: fmt.Sprintf("%s%d", route.Prefix, rng.IntN(100)), TimeLimit: plainTimeLimit, Manner: drawManner(c.manners),
 	}
 	if len(route.Models) > 0 {
 		rec.TimeLimit = streamTimeLimit
@@ -137,11 +152,12 @@
 	if c.conn != nil {
 		return nil
 	}
-	conn, err := net.DialTimeout("tcp4", c.entry.callers.address(), time.Second)
+	conn, err := shallowDialer.Dial("tcp4", c.entry.callers.address())
 	if err != nil {
 		return err
 	}
-	c.conn, c.r = conn, bufio.NewReader(conn)
+	c.conn, c.fresh = &pacedReader{Conn: conn}, true
+	c.r = bufio.NewReader(c.conn)
 	return nil
 }
 
@@ -155,8 +171,8 @@
 // send sends one request, reads the response and reports whether the connection can be reused.
 func (c *caller) send(rec *record, rng *rand.Rand) bool {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: %s %s\r\nContent-Length: %d\r\n",
-		rec.Path, host, names.Request, rec.ID, names.TimeLeft, rec.TimeLimit.Milliseconds(), names.Scheme, rec.Key, len(rec.Body))
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: %s %s\r\n",
+		rec.Path, host, names.Request, rec.ID, names.TimeLeft, rec.TimeLimit.Milliseconds(), names.Scheme, rec.Key)
 	// Only the entry may set the organisation header; a caller's value must not reach backend servers.
 	fmt.Fprintf(&b, "%s: forged\r\n", names.Organisation)
 	if rec.TimeLimit == streamTimeLimit {
@@ -169,14 +185,18 @@
 	if rec.LastEvent > 0 {
 		fmt.Fprintf(&b, "%s: %d\r\n", names.LastEventID, rec.LastEvent)
 	}
-	b.WriteString("\r\n")
-	b.Write(rec.Body)
-	if _, err := c.conn.Write(b.Bytes()); err != nil {
-		rec.Err, rec.Ended = err.Error(), time.Now()
-		return false
+	rec.Fresh, c.fresh = c.fresh, false
+	rec.Begun = time.Now()
+	for _, p := range rec.Manner.pieces(b.Bytes(), rec.Body) {
+		time.Sleep(p.wait)
+		if _, err := c.conn.Write(p.data); err != nil {
+			rec.Err, rec.Ended = err.Error(), time.Now()
+			return false
+		}
 	}
 	rec.Sent = time.Now()
-	defer func() { rec.Ended = time.Now() }()
+	c.conn.setPace(rec.Manner)
+	defer func() { rec.Ended, rec.Paused = time.Now(), c.conn.paused }()
 	wait := rec.TimeLimit + answerSlack
 	if rng.Float64() < giveUpRate {
 		rec.GaveUp, wait = true, time.Duration(rng.Float64()*float64(rec.TimeLimit)/4)
@@ -217,7 +237,7 @@
 		if err != nil {
 			return false, err
 		}
-		rec.Answer = string(b)
+		rec.Answer = shorten(string(b))
 	}
 	rec.Complete = true
 	return resp.Close, nil
@@ -240,3 +260,14 @@
 		rec.Events = n
 	}
 }
+
+// maxAnswerBytes is the size of the longest response body that a record keeps.
+const maxAnswerBytes = 1 << 10
+
+// shorten replaces a long response body by its beginning and a hash.
+func shorten(body string) string {
+	if len(body) <= maxAnswerBytes {
+		return body
+	}
+	return fmt.Sprintf("%s... %x", body[:maxAnswerBytes], xxhash.Sum64String(body))
+}
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -132,7 +132,7 @@
 		}
 		return nil
 	}
-	if t.Answer != standin.Answer(t.ID) {
+	if t.Answer != shorten(standin.Answer(t.ID)) {
 		return fmt.Errorf("the response body is %q", t.Answer)
 	}
 	return nil
@@ -191,8 +191,8 @@
 	switch {
 	case len(executions) > 0 && !known:
 		return fmt.Errorf("the request ran at %s with an unknown key", executions[0].Server)
-	case len(executions) > 0 && revoked && t.Sent.After(revokedAt.Add(standin.RevokeMs*time.Millisecond)):
-		return fmt.Errorf("the request ran at %s with a key revoked %v earlier", executions[0].Server, t.Sent.Sub(revokedAt))
+	case len(executions) > 0 && revoked && t.Begun.After(revokedAt.Add(standin.RevokeMs*time.Millisecond)):
+		return fmt.Errorf("the request ran at %s with a key revoked %v earlier", executions[0].Server, t.Begun.Sub(revokedAt))
 	case known && !revoked && t.Status >= 400 && t.Status < 500 && t.Status != http.StatusTooManyRequests && t.Status != http.StatusRequestTimeout:
 		return fmt.Errorf("status %d for a valid request with a valid key", t.Status)
 	}
@@ -222,10 +222,10 @@
 // limit.
 func (t tracedRequest) checkAnswerTime(h history) error {
 	limit := min(t.TimeLimit, t.route.Timeout)
-	if t.GaveUp || t.Sent.IsZero() || t.Ended.Sub(t.Sent) <= limit+limitSlack || t.hitByFault(h, settleTime, func(k fault) bool { return k != planChange && k != keyRevoke }) {
+	if t.GaveUp || t.Sent.IsZero() || t.Ended.Sub(t.Sent)-t.Paused <= limit+limitSlack || t.hitByFault(h, settleTime, func(k fault) bool { return k != planChange && k != keyRevoke }) {
 		return nil
 	}
-	return fmt.Errorf("the response had not ended %v after the request was sent; the limit is %v", t.Ended.Sub(t.Sent).Round(time.Millisecond), limit)
+	return fmt.Errorf("the response had not ended %v after the request was sent; the limit is %v", (t.Ended.Sub(t.Sent) - t.Paused).Round(time.Millisecond), limit)
 }
 
 // checkPlannedStops checks that neither planned maintenance nor a fault of the store cuts off a request that
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -47,9 +47,10 @@
 			}
 			r := record{
 				ID: "r1", Route: route.Name, Key: "good", Entry: "entry-0", Path: route.Prefix + "1", Body: []byte("body"), TimeLimit: plainTimeLimit,
-				Sent: at(100 * time.Second), Status: c.Status, OtherID: c.OtherID, Answer: standin.Answer("r1"), Events: c.Events, EventError: c.EventError,
+				Sent: at(100 * time.Second), Status: c.Status, OtherID: c.OtherID, Answer: shorten(standin.Answer("r1")), Events: c.Events, EventError: c.EventError,
 				Complete: !c.Cut, GaveUp: c.GaveUp,
 			}
+			r.Begun = r.Sent
 			r.Ended = r.Sent.Add(max(c.Took, 10*time.Millisecond))
 			if c.Key != "" {
 				r.Key = c.Key
@@ -109,7 +110,7 @@
 			id := string(rune('a'+i/26)) + string(rune('a'+i%26))
 			r := record{
 				ID: id, Route: "read", Key: "good", Path: "/read/1", TimeLimit: plainTimeLimit, Sent: at(10 * time.Second), Ended: at(10 * time.Second),
-				Status: status, Complete: true, Answer: standin.Answer(id), Seal: standin.Seal(id, "i-1"),
+				Status: status, Complete: true, Answer: shorten(standin.Answer(id)), Seal: standin.Seal(id, "i-1"),
 			}
 			h.Records = append(h.Records, r)
 			for k := range repeats + 1 {
@@ -174,7 +175,7 @@
 	}](t, "announcements.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			h := history{
-				Records:  []record{{ID: "r0", Entry: "entry-0", Sent: at(99 * time.Second), HeadAt: at(c.Leaving), Leaving: c.Leaving > 0, Seal: standin.Seal("r0", "i-1")}},
+				Records:  []record{{ID: "r0", Entry: "entry-0", Begun: at(99 * time.Second), Sent: at(99 * time.Second), HeadAt: at(c.Leaving), Leaving: c.Leaving > 0, Seal: standin.Seal("r0", "i-1")}},
 				Arrivals: []standin.Arrival{{ID: "r0", Server: "i-1", At: at(100 * time.Second), Rest: c.Rest}},
 			}
 			entry := "entry-0"
@@ -183,7 +184,7 @@
 			}
 			for i, sent := range c.Requests {
 				id := fmt.Sprint("r", i+1)
-				h.Records = append(h.Records, record{ID: id, Entry: entry, Sent: at(sent)})
+				h.Records = append(h.Records, record{ID: id, Entry: entry, Begun: at(sent), Sent: at(sent)})
 				h.Arrivals = append(h.Arrivals, standin.Arrival{ID: id, Server: "i-1", At: at(sent)})
 			}
 			for _, s := range c.Spans {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -130,10 +130,10 @@
 	}
 	e.ports = ports
 	e.Callers, e.Ready, e.Port = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1]), ports[2]
-	if e.store, err = newProxy("127.0.0.1:0", store); err != nil {
+	if e.store, err = newProxy("127.0.0.1:0", store, false); err != nil {
 		return nil, err
 	}
-	if e.callers, err = newProxy("127.0.0.1:0", e.Callers); err != nil {
+	if e.callers, err = newProxy("127.0.0.1:0", e.Callers, true); err != nil {
 		return nil, err
 	}
 	e.Store = e.store.address()
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -1,10 +1,15 @@
 package soaker
 
 import (
+	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // link is the state of the link that a proxy simulates.
@@ -20,6 +25,8 @@
 // proxy forwards TCP connections over loopback; its link can be disturbed.
 type proxy struct {
 	target string
+	// shallow has the proxy buffer little, so that it holds back the sender if the receiver reads slowly.
+	shallow bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -28,13 +35,40 @@
 	conns    map[net.Conn]bool
 }
 
+const (
+	// shallowBytes is the size of the socket buffers of shallow connections.
+	shallowBytes = 16 << 10
+	// segmentBytes is the segment size of shallow connections: segments of loopback are larger than such a buffer, and the
+	// sender would wait for its timer each time.
+	segmentBytes = 1400
+)
+
+// makeShallow sets the buffers of a socket before it connects or listens; accepted connections inherit them.
+func makeShallow(_, _ string, c syscall.RawConn) error {
+	var errs []error
+	err := c.Control(func(fd uintptr) {
+		errs = append(errs,
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, shallowBytes),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, shallowBytes),
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, segmentBytes))
+	})
+	return errors.Join(append(errs, err)...)
+}
+
+// shallowDialer opens shallow connections.
+var shallowDialer = net.Dialer{Timeout: time.Second, Control: makeShallow}
+
 // newProxy listens at an address, whose port may be 0, and forwards connections to target.
-func newProxy(address, target string) (*proxy, error) {
-	l, err := net.Listen("tcp4", address)
+func newProxy(address, target string, shallow bool) (*proxy, error) {
+	var lc net.ListenConfig
+	if shallow {
+		lc.Control = makeShallow
+	}
+	l, err := lc.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, shallow: shallow, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	go p.accept(l)
 	return p, nil
 }
@@ -124,7 +158,11 @@
 		resetConn(in)
 		return
 	}
-	out, err := net.Dial("tcp4", p.target)
+	var d net.Dialer
+	if p.shallow {
+		d = shallowDialer
+	}
+	out, err := d.Dial("tcp4", p.target)
 	if err != nil {
 		resetConn(in)
 		return
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -48,7 +48,7 @@
 		return fmt.Errorf("start backend server %d: %w", s.index, err)
 	}
 	if s.link == nil {
-		if s.link, err = newProxy("127.0.0.1:0", l.Addr().String()); err != nil {
+		if s.link, err = newProxy("127.0.0.1:0", l.Addr().String(), false); err != nil {
 			return err
 		}
 	}
--- a/internal/soaker/traces.go
+++ b/internal/soaker/traces.go
@@ -70,6 +70,8 @@
 	fmt.Fprintf(&b, "%s: request %s: %s\n", v.Invariant, v.Request, v.Detail)
 	fmt.Fprintf(&b, "  %s sent to %s on route %s, %s ended with status %d, whole %v %s\n", r.Sent.UTC().Format(clockTime), r.Entry, r.Route,
 		r.Ended.UTC().Format(clockTime), r.Status, r.Complete, r.Err)
+	fmt.Fprintf(&b, "  %s begun, first on its connection %v, %s, read after %v with pauses of %v\n", r.Begun.UTC().Format(clockTime), r.Fresh, r.Manner,
+		r.Manner.ReadDelay.Round(time.Millisecond), r.Manner.ReadPause)
 	for _, a := range h.Arrivals {
 		if a.ID == r.ID {
 			fmt.Fprintf(&b, "  %s reached %s, ran %v, after event %d\n", a.At.UTC().Format(clockTime), a.Server, a.Ran, a.LastEventID)
