Let the soak stop all entries at once, in overlapping series and twice

The soak stopped one entry at a time, seldom beside other planned work, and the other faults of a run excused nearly all of what a stop could break. A reload never met a stop: it waited until the entry was back.

They have a generator of their own and are off by default, so old seeds draw what they drew. A SIGHUP now reaches an entry that is stopping, also in old seeds. The history keeps when each stop began.

--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -33,12 +33,19 @@
 	At     time.Time
 }
 
+// entryStopped is when an entry got its first SIGTERM.
+type entryStopped struct {
+	Entry string
+	At    time.Time
+}
+
 // history holds what callers and backend servers saw, and the faults that were injected.
 type history struct {
 	Records  []record
 	Arrivals []standin.Arrival
 	Spans    []faultSpan
 	Drains   []drainStart
+	Stops    []entryStopped
 	// PromptCrashes holds the crashes that parts of prompts caused, in order.
 	PromptCrashes []promptCrashed
 	// Limits holds the limits that backend servers named.
@@ -212,7 +219,7 @@
 
 // isPlanned reports whether a fault is planned maintenance, which does not excuse a request that is cut off.
 func isPlanned(k fault) bool {
-	return k == entryStop || k == entryReload || k == planChange || k == keyRevoke || k == serverDrain
+	return k == entryStop || k == entryStopTwice || k == entryReload || k == planChange || k == keyRevoke || k == serverDrain
 }
 
 // settleTime is how long an entry may take after a fault until its invariants hold again.
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -158,6 +158,40 @@
 	}
 }
 
+// TestDrawWork checks that a seed always draws the same planned work, in order of time and before the time without faults,
+// and that the stops of some seeds overlap each other.
+func TestDrawWork(t *testing.T) {
+	const length = 18 * time.Second
+	kinds, overlapping := map[fault]bool{}, 0
+	for seed := range uint64(100) {
+		work := drawWork(seed, length)
+		if diff := cmp.Diff(work, drawWork(seed, length)); diff != "" {
+			t.Fatalf("seed %d gives other work the second time (-first +second):\n%s", seed, diff)
+		}
+		var stopEnds time.Duration
+		for i, inj := range work {
+			kinds[inj.Kind] = true
+			if inj.At < startupTime || inj.Length <= 0 || inj.At+inj.Length > length-quietTime || i > 0 && inj.At < work[i-1].At {
+				t.Fatalf("seed %d: fault %d is %+v", seed, i, inj)
+			}
+			if slices.Contains(stopFaults, inj.Kind) {
+				if inj.At < stopEnds {
+					overlapping++
+				}
+				stopEnds = max(stopEnds, inj.At+inj.Length)
+			}
+		}
+	}
+	for _, kind := range slices.Concat(stopFaults, companionFaults) {
+		if !kinds[kind] {
+			t.Errorf("no seed draws %s", kind)
+		}
+	}
+	if overlapping == 0 {
+		t.Error("no stops overlap")
+	}
+}
+
 // TestAnnouncementChecks checks from when the announcements of backend servers bind an entry, and what excuses it.
 func TestAnnouncementChecks(t *testing.T) {
 	type spanCase struct {
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,22 @@
 	serverEntryTTL = 3600 * time.Millisecond
 )
 
+// maxSecondSignal bounds the time from a SIGTERM to the second one.
+const maxSecondSignal = time.Second
+
+// stopEntries stops all entries and starts them again: at once, or beginning with each a part of the fault's length after
+// the one before.
+func (s *soak) stopEntries(ctx context.Context, inj Injection) {
+	var wg sync.WaitGroup
+	for i := range s.entries {
+		wg.Go(func() { s.inject(ctx, Injection{Kind: entryStop, Length: inj.Length, Pick: inj.Pick + i}) })
+		if inj.Kind == entriesRoll {
+			sleep(ctx, inj.Length/time.Duration(len(s.entries)))
+		}
+	}
+	wg.Wait()
+}
+
 // inject injects one fault, waits until it has ended and adds its time span to the history.
 func (s *soak) inject(ctx context.Context, inj Injection) {
 	e := s.entries[inj.Pick%len(s.entries)]
@@ -26,7 +43,10 @@
 	start := time.Now()
 	target := ""
 	switch inj.Kind {
-	case entryKill, entryStop, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse:
+	case entriesStop, entriesRoll:
+		s.stopEntries(ctx, inj)
+		return
+	case entryKill, entryStop, entryStopTwice, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse:
 		target = e.Name
 		s.injectEntryFault(ctx, inj, e)
 	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit, serverLeave, serverRest:
@@ -46,13 +66,16 @@
 
 func (s *soak) injectEntryFault(ctx context.Context, inj Injection, e *entry) {
 	switch inj.Kind {
-	case entryKill, entryStop:
+	case entryKill, entryStop, entryStopTwice:
 		e.faultMu.Lock()
 		defer e.faultMu.Unlock()
-		if inj.Kind == entryKill {
+		switch inj.Kind {
+		case entryKill:
 			e.terminate(syscall.SIGKILL, time.Second)
-		} else {
-			s.stopEntry(e)
+		case entryStopTwice:
+			s.stopEntry(e, min(inj.Length/2, maxSecondSignal))
+		default:
+			s.stopEntry(e, 0)
 		}
 		sleep(ctx, restartDelay)
 		if err := e.start(); err != nil {
@@ -67,6 +90,9 @@
 		sleep(ctx, inj.Length)
 		e.signal(syscall.SIGCONT)
 	case entryReload:
+		if e.signalStopping(syscall.SIGHUP) {
+			return
+		}
 		e.faultMu.Lock()
 		defer e.faultMu.Unlock()
 		e.signal(syscall.SIGHUP)
--- a/internal/soaker/limits.go
+++ b/internal/soaker/limits.go
@@ -79,7 +79,7 @@
 // isExcusedSince reports whether an entry was restarted or frozen between two times.
 func (h history) isExcusedSince(entry string, from, to time.Time) bool {
 	return slices.ContainsFunc(h.Spans, func(s faultSpan) bool {
-		excuses := s.Kind == entryKill || s.Kind == entryStop || s.Kind == entryPause
+		excuses := s.Kind == entryKill || s.Kind == entryStop || s.Kind == entryStopTwice || s.Kind == entryPause
 		return excuses && s.Target == entry && s.From.Before(to) && s.To.After(from)
 	})
 }
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -41,6 +41,11 @@
 	promptCrash   fault = "prompt-crashes"
 	planChange    fault = "plan-changes"
 	keyRevoke     fault = "key-revoked"
+	// entriesStop and entriesRoll stop all entries, at once or one after the other before the one before is back.
+	entriesStop fault = "entries-stop"
+	entriesRoll fault = "entries-roll"
+	// entryStopTwice sends a second SIGTERM during the stop.
+	entryStopTwice fault = "entry-stop-twice"
 )
 
 // allFaults lists the kinds of faults that are drawn.
@@ -51,6 +56,12 @@
 	serverLimit, serverLeave, serverRest, promptCrash, planChange, keyRevoke,
 }
 
+// stopFaults stop entries, and companionFaults are the planned work that is drawn beside them.
+var (
+	stopFaults      = []fault{entriesStop, entriesRoll, entryStopTwice, entryStop}
+	companionFaults = []fault{planChange, keyRevoke, entryReload, serverDrain, serverLeave}
+)
+
 // Injection is one fault with its start in a run and its length.
 type Injection struct {
 	At, Length time.Duration
@@ -71,6 +82,11 @@
 	longFaultFactor = 3
 	// maxSeries is the largest number of faults in a series of one kind.
 	maxSeries = 4
+	// workInterval is the mean time between two groups of planned work, maxCompanions the largest number of faults
+	// beside the stop of a group. They begin at most companionSpread before or after it.
+	workInterval    = 2 * time.Second
+	maxCompanions   = 5
+	companionSpread = 1500 * time.Millisecond
 )
 
 // drawInjections draws the faults of a run from its seed: single faults and series of one kind, which may
@@ -107,3 +123,24 @@
 	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
+
+// drawWork draws the planned work of a run from its seed: stops of entries that may overlap, each beside changes of the
+// plan, reloads and backend servers that drain or leave.
+func drawWork(seed uint64, length time.Duration) []Injection {
+	r := rand.New(rand.NewPCG(seed, 6))
+	end := length - quietTime
+	var out []Injection
+	add := func(at, length time.Duration, kinds []fault) {
+		at = max(at, startupTime)
+		out = append(out, Injection{At: at, Length: min(length, end-at), Kind: kinds[r.IntN(len(kinds))], Pick: r.IntN(1 << 20)})
+	}
+	for at := startupTime; at < end; at += time.Duration(r.ExpFloat64() * float64(workInterval)) {
+		add(at, minFaultLength+time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength)), stopFaults)
+		for range r.IntN(maxCompanions + 1) {
+			shift := time.Duration((2*r.Float64() - 1) * float64(companionSpread))
+			add(min(at+shift, end-minFaultLength), maxFaultLength, companionFaults)
+		}
+	}
+	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
+	return out
+}
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -77,6 +77,22 @@
 	}
 }
 
+// signalStopping sends a signal to a process that the soak is ending, and reports whether there is one.
+func (e *entry) signalStopping(s os.Signal) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.stopping {
+		return false
+	}
+	select {
+	case <-e.exited:
+		return false
+	default:
+	}
+	// The process may have exited just now.
+	return e.process.Signal(s) == nil
+}
+
 // terminate sends the process a signal that ends it, and SIGKILL if it has not exited after the grace
 // period. It returns the time until the exit and whether SIGKILL was unnecessary.
 func (e *entry) terminate(s os.Signal, grace time.Duration) (time.Duration, bool) {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -3,6 +3,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,6 +29,9 @@
 	Length time.Duration
 	// Rate is the number of faults per second.
 	Rate float64
+	// Work adds planned work that is drawn from the seed: stops of entries beside changes of the plan, reloads and
+	// backend servers that drain or leave.
+	Work bool
 	// Faults replaces the faults that are drawn from the seed.
 	Faults                    []Injection
 	Entries, Servers, Callers int
@@ -95,6 +99,10 @@
 	injections := cfg.Faults
 	if injections == nil {
 		injections = drawInjections(cfg.Seed, cfg.Length, cfg.Rate)
+		if cfg.Work {
+			injections = append(injections, drawWork(cfg.Seed, cfg.Length)...)
+			slices.SortStableFunc(injections, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
+		}
 	}
 	s.injectFaults(runCtx, injections)
 	stop()
@@ -233,13 +241,19 @@
 func (s *soak) stopAll() {
 	var wg sync.WaitGroup
 	for _, e := range s.entries {
-		wg.Go(func() { s.stopEntry(e) })
+		wg.Go(func() { s.stopEntry(e, 0) })
 	}
 	wg.Wait()
 }
 
-// stopEntry ends an entry by SIGTERM and records a violation if it does not exit within its grace period.
-func (s *soak) stopEntry(e *entry) {
+// stopEntry ends an entry by SIGTERM and records a violation if it does not exit within its grace period. If second is
+// above zero, it sends a second SIGTERM that much later.
+func (s *soak) stopEntry(e *entry, second time.Duration) {
+	s.updateHistory(func(h *history) { h.Stops = append(h.Stops, entryStopped{Entry: e.Name, At: time.Now()}) })
+	if second > 0 {
+		t := time.AfterFunc(second, func() { e.signalStopping(syscall.SIGTERM) })
+		defer t.Stop()
+	}
 	if took, ok := e.terminate(syscall.SIGTERM, standin.GraceS*time.Second); !ok {
 		s.mu.Lock()
 		s.violations = append(s.violations, fmt.Sprintf("planned stops: entry %s was still running %v after SIGTERM", e.Name, took.Round(time.Millisecond)))
