Check planned stops as strictly as the rule on lost requests

The check forgave each request that ran nowhere: one that an entry had read and dropped, or that a backend server had refused, broke nothing. And any fault of any backend server in the four seconds before a request excused its loss, which in most runs was nearly always.

A request without a whole answer now counts if a backend server received it, refused or not; and if its entry had read it and it ended later than 200 ms after its last byte. Read means: a response had begun, the entry's log names the request, or the connection ended without a reset, which the kernel sends if data is left unread. Requests that cross the close of their connection stay out.

Excused are, as in the rule: callers who gave up; a kill or pause of the entry and faults of its callers' links from four seconds before the request to its end; a break of a server that had received the request, during it (crash, lost answers, silent or reset link); a server at work in the last sixth of the grace period on a request that was begun at most three seconds after the SIGTERM. Not any more: faults of other servers, of the service that refuses, fails or is silent, and crashes by prompts elsewhere. A server that leaves counts as crashed only when it ends.

--- a/internal/soaker/announcements.go
+++ b/internal/soaker/announcements.go
@@ -24,8 +24,10 @@
 	srv.setFaults(standin.ServerFaults{Leaving: true})
 	sleep(ctx, inj.Length)
 	s.store.Remove("servers/" + id)
+	from := time.Now()
 	srv.crash()
 	s.reportError(srv.launch())
+	s.updateHistory(func(h *history) { h.Spans = append(h.Spans, faultSpan{serverCrash, id, from, time.Now()}) })
 }
 
 // checkLeaving checks that no entry sends a request, which a caller sent later than the drain time after the entry had
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -54,8 +54,9 @@
 	// unexpected event of a stream.
 	Complete   bool
 	EventError string
-	// Err is why no complete response arrived.
-	Err string
+	// Err is why no complete response arrived; Closed reports that the connection ended without a reset.
+	Err    string
+	Closed bool
 	// GaveUp reports that the caller waited for at most a quarter of its time limit.
 	GaveUp bool
 }
@@ -207,7 +208,7 @@
 	}
 	closing, err := c.readAnswer(rec)
 	if err != nil {
-		rec.Err = err.Error()
+		rec.Err, rec.Closed = err.Error(), errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 		return false
 	}
 	return !closing && c.r.Buffered() == 0
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -33,12 +33,6 @@
 	At     time.Time
 }
 
-// entryStopped is when an entry got its first SIGTERM.
-type entryStopped struct {
-	Entry string
-	At    time.Time
-}
-
 // history holds what callers and backend servers saw, and the faults that were injected.
 type history struct {
 	Records  []record
@@ -46,6 +40,8 @@
 	Spans    []faultSpan
 	Drains   []drainStart
 	Stops    []entryStopped
+	// Logged holds the requests without a whole response that their entries' logs name.
+	Logged map[string]bool
 	// PromptCrashes holds the crashes that parts of prompts caused, in order.
 	PromptCrashes []promptCrashed
 	// Limits holds the limits that backend servers named.
@@ -217,11 +213,6 @@
 	})
 }
 
-// isPlanned reports whether a fault is planned maintenance, which does not excuse a request that is cut off.
-func isPlanned(k fault) bool {
-	return k == entryStop || k == entryStopTwice || k == entryReload || k == planChange || k == keyRevoke || k == serverDrain
-}
-
 // settleTime is how long an entry may take after a fault until its invariants hold again.
 const settleTime = 4 * time.Second
 
@@ -235,16 +226,6 @@
 	return fmt.Errorf("the response had not ended %v after the request was sent; the limit is %v", (t.Ended.Sub(t.Sent) - t.Paused).Round(time.Millisecond), limit)
 }
 
-// checkPlannedStops checks that neither planned maintenance nor a fault of the store cuts off a request that
-// a backend server ran.
-func (t tracedRequest) checkPlannedStops(h history) error {
-	if t.GaveUp || t.Complete || t.Sent.IsZero() || len(t.executions()) == 0 ||
-		t.hitByFault(h, settleTime, func(k fault) bool { return !isPlanned(k) && !strings.HasPrefix(string(k), "store") }) {
-		return nil
-	}
-	return fmt.Errorf("the connection to an undisturbed entry ended without a complete response: %s", t.Err)
-}
-
 // checkDraining checks that an undisturbed entry sends no request to a backend server that announced its
 // drain longer than the drain time ago.
 func (t tracedRequest) checkDraining(h history) error {
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -30,11 +30,16 @@
 		Target   string
 		From, To time.Duration
 	}
+	type stopCase struct {
+		Entry string
+		At    time.Duration
+	}
 	type invariantCase struct {
 		Name, Route, Key, Sealer, OtherID, Answer, EventError string
 		Status, Events                                        int
-		Cut, GaveUp                                           bool
-		Took                                                  time.Duration
+		Cut, GaveUp, Closed, Logged                           bool
+		Took, Paused                                          time.Duration
+		Stops                                                 []stopCase
 		Arrivals                                              []arrival
 		Spans                                                 []spanCase
 		Want                                                  []string
@@ -48,7 +53,7 @@
 			r := record{
 				ID: "r1", Route: route.Name, Key: "good", Entry: "entry-0", Path: route.Prefix + "1", Body: []byte("body"), TimeLimit: plainTimeLimit,
 				Sent: at(100 * time.Second), Status: c.Status, OtherID: c.OtherID, Answer: shorten(standin.Answer("r1")), Events: c.Events, EventError: c.EventError,
-				Complete: !c.Cut, GaveUp: c.GaveUp,
+				Complete: !c.Cut, GaveUp: c.GaveUp, Closed: c.Closed, Paused: c.Paused,
 			}
 			r.Begun = r.Sent
 			r.Ended = r.Sent.Add(max(c.Took, 10*time.Millisecond))
@@ -64,7 +69,10 @@
 			h := history{
 				Records: []record{r}, KeyOwners: map[string]string{"good": "mill", "old": "mill"},
 				RevokedAt: map[string]time.Time{"old": at(90 * time.Second)}, Drains: []drainStart{{Server: "i-7", At: at(90 * time.Second)}},
-				FaultsEnded: at(200 * time.Second),
+				FaultsEnded: at(200 * time.Second), Logged: map[string]bool{r.ID: c.Logged},
+			}
+			for _, s := range c.Stops {
+				h.Stops = append(h.Stops, entryStopped{Entry: s.Entry, At: at(s.At)})
 			}
 			for _, a := range c.Arrivals {
 				in := standin.Arrival{
--- a/internal/soaker/prompts.go
+++ b/internal/soaker/prompts.go
@@ -58,10 +58,11 @@
 
 // crashByPrompt crashes a backend server because of a part of a prompt and starts it again under a new id.
 func (s *soak) crashByPrompt(srv *serverSlot, id, part string) {
+	crashed := promptCrashed{part, id, time.Now()}
 	if !srv.crashIfUp(id) {
 		return
 	}
-	s.updateHistory(func(h *history) { h.PromptCrashes = append(h.PromptCrashes, promptCrashed{part, id, time.Now()}) })
+	s.updateHistory(func(h *history) { h.PromptCrashes = append(h.PromptCrashes, crashed) })
 	s.restarts.Go(func() {
 		time.Sleep(crashDowntime)
 		srv.faultMu.Lock()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/tracer"
 	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
 
@@ -126,9 +127,19 @@
 	for _, e := range s.entries {
 		out.Violations = append(out.Violations, e.problems...)
 	}
+	log, err := s.readLogs()
+	if err != nil {
+		out.Violations = append(out.Violations, err.Error())
+		log = &tracer.Log{}
+	}
+	s.history.Logged = map[string]bool{}
+	for _, r := range s.history.Records {
+		if !r.Complete {
+			_, s.history.Logged[r.ID] = log.Trace(r.ID)
+		}
+	}
 	found := checkHistory(s.history)
-	var err error
-	if out.Traces, err = s.traceViolations(found); err != nil {
+	if out.Traces, err = s.traceViolations(found, log); err != nil {
 		out.Violations = append(out.Violations, err.Error())
 	}
 	for _, v := range found {
--- a/internal/soaker/traces.go
+++ b/internal/soaker/traces.go
@@ -24,14 +24,10 @@
 
 // traceViolations returns the traces of the requests that violations name: what their callers and backend servers saw,
 // the faults meanwhile, and what the entries logged. It writes them to the folder of the run too.
-func (s *soak) traceViolations(found []violation) (traces []string, err error) {
+func (s *soak) traceViolations(found []violation, log *tracer.Log) (traces []string, err error) {
 	if len(found) == 0 {
 		return nil, nil
 	}
-	log, err := s.readLogs()
-	if err != nil {
-		return nil, err
-	}
 	traced := map[string]bool{}
 	for _, v := range found {
 		if traced[v.Request] || len(traces) >= maxTraces {
