Let another writer leave odd entries in the soak's list of servers

The soak's store held only entries of its own, all of them sound. It could not see what one odd entry does to the entries that read the list.

An odd entry excuses nothing: the checks of drains and of recovery tell whether good servers are still followed, and no process may end by itself.

--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -213,6 +213,9 @@
 	})
 }
 
+// isHarmless reports whether a fault excuses nothing: entries must follow the plan and pass over odd entries.
+func isHarmless(k fault) bool { return k == planChange || k == keyRevoke || k == oddEntry }
+
 // settleTime is how long an entry may take after a fault until its invariants hold again.
 const settleTime = 4 * time.Second
 
@@ -220,7 +223,7 @@
 // limit.
 func (t tracedRequest) checkAnswerTime(h history) error {
 	limit := min(t.TimeLimit, t.route.Timeout)
-	if t.GaveUp || t.Sent.IsZero() || t.Ended.Sub(t.Sent)-t.Paused <= limit+limitSlack || t.hitByFault(h, settleTime, func(k fault) bool { return k != planChange && k != keyRevoke }) {
+	if t.GaveUp || t.Sent.IsZero() || t.Ended.Sub(t.Sent)-t.Paused <= limit+limitSlack || t.hitByFault(h, settleTime, func(k fault) bool { return !isHarmless(k) }) {
 		return nil
 	}
 	return fmt.Errorf("the response had not ended %v after the request was sent; the limit is %v", (t.Ended.Sub(t.Sent) - t.Paused).Round(time.Millisecond), limit)
@@ -236,7 +239,7 @@
 				continue
 			}
 			undisturbed := !slices.ContainsFunc(h.Spans, func(s faultSpan) bool {
-				return (s.Target == "" || s.Target == t.Entry) && s.Kind != planChange && s.Kind != keyRevoke && s.From.Before(a.At) && s.To.After(d.At.Add(-settleTime))
+				return (s.Target == "" || s.Target == t.Entry) && !isHarmless(s.Kind) && s.From.Before(a.At) && s.To.After(d.At.Add(-settleTime))
 			})
 			if undisturbed {
 				return fmt.Errorf("the request reached %s %v after the server announced its drain", a.Server, delay.Round(time.Millisecond))
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -54,6 +54,8 @@
 		s.injectServerFault(ctx, inj, srv)
 	case storeBusy, storeSlow, storeLost, storeForget, storeRestore:
 		s.injectStoreFault(ctx, inj)
+	case oddEntry:
+		target = s.leaveOddEntry(ctx, inj)
 	case promptCrash:
 		s.sendCrashingRequests(ctx, inj)
 	case planChange, keyRevoke:
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -46,6 +46,8 @@
 	entriesRoll fault = "entries-roll"
 	// entryStopTwice sends a second SIGTERM during the stop.
 	entryStopTwice fault = "entry-stop-twice"
+	// oddEntry is an entry in the list of backend servers that another writer left.
+	oddEntry fault = "odd-entry"
 )
 
 // allFaults lists the kinds of faults that are drawn.
@@ -62,6 +64,12 @@
 	companionFaults = []fault{planChange, keyRevoke, entryReload, serverDrain, serverLeave}
 )
 
+// oddFaults are what odd neighbours do, changeFaults the changes that must be followed meanwhile.
+var (
+	oddFaults    = []fault{oddEntry}
+	changeFaults = []fault{serverDrain, serverCrash, planChange, entryStop}
+)
+
 // Injection is one fault with its start in a run and its length.
 type Injection struct {
 	At, Length time.Duration
@@ -87,6 +95,8 @@
 	workInterval    = 2 * time.Second
 	maxCompanions   = 5
 	companionSpread = 1500 * time.Millisecond
+	// oddInterval is the mean time between two odd faults.
+	oddInterval = 1200 * time.Millisecond
 )
 
 // drawInjections draws the faults of a run from its seed: single faults and series of one kind, which may
@@ -144,3 +154,18 @@
 	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
+
+// drawOddities draws odd faults of a run from its seed, each with a change meanwhile that must be followed.
+func drawOddities(seed uint64, length time.Duration) []Injection {
+	r := rand.New(rand.NewPCG(seed, 7))
+	end := length - quietTime
+	var out []Injection
+	for at := startupTime; at < end; at += time.Duration(r.ExpFloat64() * float64(oddInterval)) {
+		d := min(longFaultFactor*(minFaultLength+time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength))), end-at)
+		out = append(out,
+			Injection{At: at, Length: d, Kind: oddFaults[r.IntN(len(oddFaults))], Pick: r.IntN(1 << 20)},
+			Injection{At: at + time.Duration(r.Float64()*float64(d)), Length: min(minFaultLength, d), Kind: changeFaults[r.IntN(len(changeFaults))], Pick: r.IntN(1 << 20)})
+	}
+	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
+	return out
+}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -33,6 +33,8 @@
 	// Work adds planned work that is drawn from the seed: stops of entries beside changes of the plan, reloads and
 	// backend servers that drain or leave.
 	Work bool
+	// Odd adds what odd neighbours do: entries that another writer left in the list of backend servers.
+	Odd bool
 	// Faults replaces the faults that are drawn from the seed.
 	Faults                    []Injection
 	Entries, Servers, Callers int
@@ -102,8 +104,11 @@
 		injections = drawInjections(cfg.Seed, cfg.Length, cfg.Rate)
 		if cfg.Work {
 			injections = append(injections, drawWork(cfg.Seed, cfg.Length)...)
-			slices.SortStableFunc(injections, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 		}
+		if cfg.Odd {
+			injections = append(injections, drawOddities(cfg.Seed, cfg.Length)...)
+		}
+		slices.SortStableFunc(injections, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	}
 	s.injectFaults(runCtx, injections)
 	stop()
--- a/internal/soaker/traces.go
+++ b/internal/soaker/traces.go
@@ -85,8 +85,9 @@
 	return b.String(), true
 }
 
-// concerns reports whether a fault affected the entry of a request, all entries or a backend server that it reached.
+// concerns reports whether a fault affected the entry of a request, all entries or a backend server that it reached, or is
+// an odd entry.
 func (h history) concerns(f faultSpan, r record) bool {
-	return f.Target == "" || f.Target == r.Entry ||
+	return f.Target == "" || f.Target == r.Entry || f.Kind == oddEntry ||
 		slices.ContainsFunc(h.Arrivals, func(a standin.Arrival) bool { return a.ID == r.ID && a.Server == f.Target })
 }
