Let backend servers of the soak repeat refusals on kept connections

The soak's servers answered each request once. It could not see whether an entry takes an earlier refusal for the answer to the next request on a kept connection, and then tells a caller "not run" of a request that runs, or sends it to a second server.

The fault "server-repeats-refusals" refuses a third of the requests (429 or 503, not run), and on connections that have carried a request before it writes the last refusal once more, head and body, before half of the other answers: with that refusal's id or without any. The promises were there: true refusals, at most once.

--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -49,7 +49,7 @@
 	case entryKill, entryStop, entryStopTwice, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse:
 		target = e.Name
 		s.injectEntryFault(ctx, inj, e)
-	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit, serverLeave, serverRest:
+	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit, serverLeave, serverRest, serverRepeat:
 		target = srv.id()
 		s.injectServerFault(ctx, inj, srv)
 	case storeBusy, storeSlow, storeLost, storeForget, storeRestore:
@@ -122,6 +122,7 @@
 var serverFaultsByKind = map[fault]standin.ServerFaults{
 	serverHang: {Hang: true}, serverFail: {ErrorRate: faultRate}, serverLose: {ResetRate: faultRate, TruncateRate: faultRate},
 	serverBusy: {Busy: true}, serverSurplus: {TrailingBytesRate: faultRate},
+	serverRepeat: {RepeatRefusals: true},
 }
 
 func (s *soak) injectServerFault(ctx context.Context, inj Injection, srv *serverSlot) {
--- a/internal/soaker/oddities_test.go
+++ b/internal/soaker/oddities_test.go
@@ -1,7 +1,10 @@
 package soaker
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -57,3 +60,74 @@
 		}
 	}
 }
+
+// serveWith starts a backend server with faults and returns its address.
+func serveWith(t *testing.T, f standin.ServerFaults) string {
+	t.Helper()
+	h := standin.NewHandler(standin.Server{ID: "i-1", Service: "models", Slots: 8}, func(standin.Arrival) {}, func(string) {})
+	h.SetFaults(f)
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// send sends a request with an id and further headers to a backend server.
+func send(t *testing.T, w io.Writer, id, headers string) {
+	t.Helper()
+	if _, err := fmt.Fprintf(w, "POST / HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\nX-Expect-Replica: i-1\r\n%sContent-Length: 0\r\n\r\n", id, headers); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive reads one response with its body.
+func receive(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+// TestRepeatedRefusals checks that a backend server which repeats refusals sends them on kept connections before the next
+// answer, with the earlier request's id and without any.
+func TestRepeatedRefusals(t *testing.T) {
+	const connections = 100
+	address := serveWith(t, standin.ServerFaults{RepeatRefusals: true})
+	repeats := map[bool]int{}
+	for i := range connections {
+		conn, err := net.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		first, id := fmt.Sprint("first-", i), fmt.Sprint("second-", i)
+		send(t, conn, first, "")
+		if resp, _ := receive(t, r); resp.Close {
+			continue
+		}
+		send(t, conn, id, "")
+		resp, _ := receive(t, r)
+		other := resp.Header.Get("X-Request-Id")
+		if other == id {
+			continue
+		}
+		repeats[other != ""]++
+		if resp.Header.Get("X-Not-Executed") == "" || resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+			t.Errorf("the repeated refusal has status %d", resp.StatusCode)
+		}
+		resp, body := receive(t, r)
+		if diff := cmp.Diff(standin.Answer(id), body); diff != "" || resp.Header.Get("X-Request-Id") != id {
+			t.Errorf("answer to %s (-want +got):\n%s", id, diff)
+		}
+	}
+	if repeats[true] == 0 || repeats[false] == 0 {
+		t.Errorf("repeated refusals with and without an id: %v", repeats)
+	}
+}
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -48,6 +48,8 @@
 	entryStopTwice fault = "entry-stop-twice"
 	// oddEntry is an entry in the list of backend servers that another writer left.
 	oddEntry fault = "odd-entry"
+	// serverRepeat has a backend server refuse requests and repeat the refusals on kept connections.
+	serverRepeat fault = "server-repeats-refusals"
 )
 
 // allFaults lists the kinds of faults that are drawn.
@@ -66,7 +68,7 @@
 
 // oddFaults are what odd neighbours do, changeFaults the changes that must be followed meanwhile.
 var (
-	oddFaults    = []fault{oddEntry}
+	oddFaults    = []fault{oddEntry, serverRepeat}
 	changeFaults = []fault{serverDrain, serverCrash, planChange, entryStop}
 )
 
