Let streams of the soak break off and be resumed with errors

A server of the soak that broke a stream off left a sound one to go on with it. So the soak could not see what an entry does with an error in answer to a request that resumes a stream whose first events the caller has already.

The fault "streams-break" has all servers with models break half of their streams off and answer requests that resume one after its third event (callers themselves resume up to there) with an error: 500, 503 not run, garbage, an event or text under status 200 without a seal; or, with an odd pick, text under status 200 with the seal and another content type. The promise was there: whole answers.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -30,7 +30,7 @@
 	length := run.Flag("length", "Time of a run.").Default("20s").Duration()
 	rate := run.Flag("rate", "Faults a second.").Default("1.5").Float64()
 	work := run.Flag("work", "Add planned work: stops of entries beside changes of the plan, reloads and servers that drain or leave.").Bool()
-	odd := run.Flag("odd", "Add odd entries in the list of servers and servers that repeat refusals.").Bool()
+	odd := run.Flag("odd", "Add odd entries in the list of servers, servers that repeat refusals and errors when streams are resumed.").Bool()
 	entries := run.Flag("entries", "Entries.").Default("3").Int()
 	servers := run.Flag("servers", "Backend servers.").Default("8").Int()
 	callers := run.Flag("callers", "Callers.").Default("24").Int()
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -56,6 +56,9 @@
 		s.injectStoreFault(ctx, inj)
 	case oddEntry:
 		target = s.leaveOddEntry(ctx, inj)
+	case streamsBreak:
+		s.breakStreams(ctx, inj)
+		return
 	case promptCrash:
 		s.sendCrashingRequests(ctx, inj)
 	case planChange, keyRevoke:
--- a/internal/soaker/oddities.go
+++ b/internal/soaker/oddities.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
 
 const (
@@ -54,3 +57,24 @@
 	}
 	return name
 }
+
+// breakStreams has all backend servers with models break streams off and answer requests that resume them with errors, each
+// second time with the text of an error under their seals.
+func (s *soak) breakStreams(ctx context.Context, inj Injection) {
+	from := time.Now()
+	f := standin.ServerFaults{TruncateRate: faultRate, ResumeErrors: inj.Pick%2 == 0, SealedErrors: inj.Pick%2 == 1}
+	var ids []string
+	for _, srv := range s.servers {
+		if srv.service == "models" {
+			ids = append(ids, srv.id())
+			srv.setFaults(f)
+			defer srv.setFaults(standin.ServerFaults{})
+		}
+	}
+	sleep(ctx, inj.Length)
+	s.updateHistory(func(h *history) {
+		for _, id := range ids {
+			h.Spans = append(h.Spans, faultSpan{serverLose, id, from, time.Now()})
+		}
+	})
+}
--- a/internal/soaker/oddities_test.go
+++ b/internal/soaker/oddities_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -131,3 +132,44 @@
 		t.Errorf("repeated refusals with and without an id: %v", repeats)
 	}
 }
+
+// TestResumeErrors checks that no answer to a request that an entry resumes is good, and that each one to a request that a
+// caller resumes is.
+func TestResumeErrors(t *testing.T) {
+	const requests = 60
+	for _, c := range []struct {
+		faults standin.ServerFaults
+		want   []string
+	}{
+		{standin.ServerFaults{ResumeErrors: true}, []string{
+			"200 text/event-stream sealed false", "200 text/plain sealed false", "500 text/plain sealed false", "503 text/plain sealed false", "garbled",
+		}},
+		{standin.ServerFaults{SealedErrors: true}, []string{"200 text/plain sealed true"}},
+	} {
+		address := serveWith(t, c.faults)
+		kinds := map[string]bool{}
+		for i := range requests {
+			for _, after := range []int{3, 4} {
+				conn, err := net.Dial("tcp4", address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				send(t, conn, fmt.Sprint("r", i), fmt.Sprintf("X-Model: small\r\nLast-Event-Id: %d\r\n", after))
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				kind := "garbled"
+				if err == nil {
+					kind = fmt.Sprint(resp.StatusCode, " ", resp.Header.Get("Content-Type"), " sealed ", resp.Header.Get("X-Replica-Seal") != "")
+				}
+				conn.Close()
+				if after == 4 {
+					kinds[kind] = true
+				} else if kind != "200 text/event-stream sealed true" {
+					t.Errorf("request %d after event %d got %s", i, after, kind)
+				}
+			}
+		}
+		if diff := cmp.Diff(c.want, slices.Sorted(maps.Keys(kinds))); diff != "" {
+			t.Errorf("%+v: answers (-want +got):\n%s", c.faults, diff)
+		}
+	}
+}
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -50,6 +50,8 @@
 	oddEntry fault = "odd-entry"
 	// serverRepeat has a backend server refuse requests and repeat the refusals on kept connections.
 	serverRepeat fault = "server-repeats-refusals"
+	// streamsBreak has the backend servers with models break streams off and answer with errors when they are resumed.
+	streamsBreak fault = "streams-break"
 )
 
 // allFaults lists the kinds of faults that are drawn.
@@ -68,7 +70,7 @@
 
 // oddFaults are what odd neighbours do, changeFaults the changes that must be followed meanwhile.
 var (
-	oddFaults    = []fault{oddEntry, serverRepeat}
+	oddFaults    = []fault{oddEntry, serverRepeat, streamsBreak}
 	changeFaults = []fault{serverDrain, serverCrash, planChange, entryStop}
 )
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -33,8 +33,8 @@
 	// Work adds planned work that is drawn from the seed: stops of entries beside changes of the plan, reloads and
 	// backend servers that drain or leave.
 	Work bool
-	// Odd adds what odd neighbours do: entries that another writer left in the list of backend servers, and servers that
-	// repeat refusals.
+	// Odd adds what odd neighbours do: entries that another writer left in the list of backend servers, servers that repeat
+	// refusals, and servers that break streams off and answer with errors when these are resumed.
 	Odd bool
 	// Faults replaces the faults that are drawn from the seed.
 	Faults                    []Injection
