Keep a backend server's faults in the soak while others begin and end

Cause: the soak. Two faults on one server overlap: 'loses answers' replaced the switches, and its end cleared them, while 'names a limit' still counted. The answers named no limit any more, which lifts it, and entries sent on. Change: the switches of faults are merged, and each fault takes back only its own.

--- a/internal/soaker/announcements.go
+++ b/internal/soaker/announcements.go
@@ -21,7 +21,7 @@
 	srv.faultMu.Lock()
 	defer srv.faultMu.Unlock()
 	id := srv.id()
-	srv.setFaults(standin.ServerFaults{Leaving: true})
+	srv.addFaults(standin.ServerFaults{Leaving: true})
 	sleep(ctx, inj.Length)
 	s.store.Remove("servers/" + id)
 	from := time.Now()
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -162,13 +162,11 @@
 	case serverLeave:
 		s.leave(ctx, inj, srv)
 	case serverRest:
-		srv.setFaults(standin.ServerFaults{Busy: true, Rest: restTime})
+		defer srv.addFaults(standin.ServerFaults{Busy: true, Rest: restTime})()
 		sleep(ctx, inj.Length)
-		srv.setFaults(standin.ServerFaults{})
 	default:
-		srv.setFaults(serverFaultsByKind[inj.Kind])
+		defer srv.addFaults(serverFaultsByKind[inj.Kind])()
 		sleep(ctx, inj.Length)
-		srv.setFaults(standin.ServerFaults{})
 	}
 }
 
--- a/internal/soaker/limits.go
+++ b/internal/soaker/limits.go
@@ -19,10 +19,10 @@
 // nameLimit has a backend server name a limit of one to three requests a second.
 func (s *soak) nameLimit(ctx context.Context, inj Injection, srv *serverSlot) {
 	l := namedLimit{Server: srv.id(), Limit: float64(1 + inj.Pick%3), From: time.Now()}
-	srv.setFaults(standin.ServerFaults{Limit: l.Limit})
+	remove := srv.addFaults(standin.ServerFaults{Limit: l.Limit})
 	sleep(ctx, inj.Length)
-	srv.setFaults(standin.ServerFaults{})
 	l.To = time.Now()
+	remove()
 	s.updateHistory(func(h *history) { h.Limits = append(h.Limits, l) })
 }
 
--- a/internal/soaker/oddities.go
+++ b/internal/soaker/oddities.go
@@ -67,8 +67,7 @@
 	for _, srv := range s.servers {
 		if srv.service == "models" {
 			ids = append(ids, srv.id())
-			srv.setFaults(f)
-			defer srv.setFaults(standin.ServerFaults{})
+			defer srv.addFaults(f)()
 		}
 	}
 	sleep(ctx, inj.Length)
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +30,9 @@
 	down        bool
 	info        standin.Server
 	handler     *standin.Handler
-	http        *http.Server
+	// faults holds the switches of the faults in effect.
+	faults []*standin.ServerFaults
+	http   *http.Server
 }
 
 // maxListenTries bounds the attempts to listen at the address of the previous backend server.
@@ -65,6 +68,7 @@
 		Slots: 32, StartUnixMilli: time.Now().UnixMilli(),
 	}
 	id := s.info.ID
+	s.faults = nil
 	s.handler = standin.NewHandler(s.info, s.onArrival, func(part string) { s.onCrash(id, part) })
 	s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
 	go func(h *http.Server) {
@@ -124,8 +128,26 @@
 	return s.info.ID
 }
 
-func (s *serverSlot) setFaults(f standin.ServerFaults) {
+// addFaults adds fault switches to those that other faults have set, and returns a function that takes them back. A
+// backend server that starts has none.
+func (s *serverSlot) addFaults(f standin.ServerFaults) (remove func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.handler.SetFaults(f)
+	added := &f
+	s.faults = append(s.faults, added)
+	s.applyFaults()
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faults = slices.DeleteFunc(s.faults, func(g *standin.ServerFaults) bool { return g == added })
+		s.applyFaults()
+	}
+}
+
+func (s *serverSlot) applyFaults() {
+	var merged standin.ServerFaults
+	for _, f := range s.faults {
+		merged = merged.Merge(*f)
+	}
+	s.handler.SetFaults(merged)
 }
