Treat a request on a connection that was closed before its first one like any that crossed

A caller whose first request crossed the closing of its silent new connection was read by the stop, and not logged. Change: such a connection counts as idle when it is closed.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -127,7 +127,7 @@
 		defer c.released(c)
 		return errors.Join(err, c.Conn.Close())
 	}
-	go c.linger(c.state == http.StateIdle)
+	go c.linger((c.state == http.StateIdle || c.state == http.StateNew) && !c.receiving.Load())
 	return nil
 }
 
@@ -152,8 +152,9 @@
 }
 
 // linger waits until the connection may be closed on both sides, and closes it. What the caller still sends is read,
-// so that no reset drops what it has yet to receive. Bytes that follow the closing of an idle connection are a request
-// that crossed it: they stay unread once the caller has its last answer, and the reset says so.
+// so that no reset drops what it has yet to receive. Bytes that follow the closing of an idle connection, or of one
+// without a request, are a request that crossed it: they stay unread once the caller has its last answer, and the
+// reset says so.
 func (c *callerConn) linger(idle bool) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
