--- a/internal/acceptor/stop_test.go
+++ b/internal/acceptor/stop_test.go
@@ -86,6 +86,14 @@
 	}
 }
 
+// checkAnswer checks that the caller gets the whole body of an answer.
+func (f *runningAcceptor) checkAnswer(c net.Conn, length int) {
+	f.t.Helper()
+	if n, err := readWhole(c); err != nil || n != length {
+		f.t.Errorf("the caller got %d of %d bytes of the answer: %v", n, length, err)
+	}
+}
+
 type wrappingListener struct {
 	net.Listener
 	wrap func(net.Conn) net.Conn
@@ -148,9 +156,7 @@
 	done := f.startStop()
 	time.Sleep(5 * quietCheckInterval)
 	hold.Store(false)
-	if n, err := readWhole(c); err != nil || n != len("answer") {
-		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
-	}
+	f.checkAnswer(c, len("answer"))
 	c.Close()
 	f.awaitStop(done)
 }
@@ -172,9 +178,7 @@
 	fmt.Fprint(c, request)
 	close(sent)
 	time.Sleep(lateRead)
-	if n, err := readWhole(c); err != nil || n != largeAnswer {
-		t.Errorf("the caller got %d of %d bytes: %v", n, largeAnswer, err)
-	}
+	f.checkAnswer(c, largeAnswer)
 	c.Close()
 	f.awaitStop(f.startStop())
 }
@@ -197,9 +201,7 @@
 		return
 	case <-time.After(firstRequestTime + lateRead):
 	}
-	if n, err := readWhole(c); err != nil || n != largeAnswer {
-		t.Errorf("the caller got %d of %d bytes: %v", n, largeAnswer, err)
-	}
+	f.checkAnswer(c, largeAnswer)
 	f.awaitStop(done)
 }
 
@@ -225,9 +227,7 @@
 	done := f.startStop()
 	time.Sleep(5 * quietCheckInterval)
 	hold.Store(false)
-	if n, err := readWhole(c); err != nil || n != len("answer") {
-		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
-	}
+	f.checkAnswer(c, len("answer"))
 	c.Close()
 	f.awaitStop(done)
 }
@@ -242,9 +242,7 @@
 	done := f.startStop()
 	time.Sleep(firstRequestTime + lateRead)
 	fmt.Fprint(c, "ample\r\n\r\n")
-	if n, err := readWhole(c); err != nil || n != len("answer") {
-		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
-	}
+	f.checkAnswer(c, len("answer"))
 	c.Close()
 	f.awaitStop(done)
 }
@@ -275,9 +273,7 @@
 	done := f.startStop()
 	time.Sleep(5 * quietCheckInterval)
 	close(pass)
-	if n, err := readWhole(c); err != nil || n != len("answer") {
-		t.Errorf("the caller got %d bytes of the answer: %v", n, err)
-	}
+	f.checkAnswer(c, len("answer"))
 	c.Close()
 	first.Close()
 	f.awaitStop(done)
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -61,7 +61,8 @@
 	GaveUp bool
 }
 
-// caller sends requests to one entry and reuses its connection until the entry closes it or a request fails.
+// caller sends requests, with a length or in chunks, to one entry and reuses its connection until the entry closes it or
+// a request fails.
 type caller struct {
 	entry *entry
 	seed  uint64
