--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -133,6 +134,33 @@
 	}
 }
 
+// TestCallerLeavesWhileSilenceIsOutwaited: the backend server must stop at once although the entry waits on for it.
+func TestCallerLeavesWhileSilenceIsOutwaited(t *testing.T) {
+	for _, path := range []string{"/never/a", "/safe/a", "/stream/a", "/once/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			b := &backends{t: t, replies: []string{"silent"}}
+			plan := testPlan()
+			for i := range plan.Routes {
+				plan.Routes[i].Timeout = 10 * time.Second
+			}
+			e := startEntry(t, &fakeState{plan: plan, servers: b.start(1)})
+			c, err := net.Dial("tcp", e.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a.example\r\nId: request-1\r\nAuthorization: Key good\r\nContent-Length: 4\r\n\r\nbody", path)
+			time.Sleep(minHeadTimeout + silenceCheckInterval/2)
+			c.Close()
+			select {
+			case <-b.gone:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the backend server still works half a second after the caller left")
+			}
+		})
+	}
+}
+
 // TestSlowCaller checks that a stream is not taken for silent while its caller does not read: the time of writing
 // to the caller is no silence of the backend server.
 func TestSlowCaller(t *testing.T) {
