Leave running requests all but an eighth of a short grace period

Change: both margins together are at most an eighth of the grace period. Nothing changes from four seconds on.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -142,11 +142,18 @@
 	unlistedAt, closeAt, cutAt, exitAt time.Time
 }
 
+// maxMarginDivisor bounds both margins at the end of a stop to the grace period divided by it. A short grace period is
+// worth more to running requests than to refusals.
+const maxMarginDivisor = 8
+
 // planStop returns the times of a stop that begins at now.
 func planStop(grace time.Duration, now time.Time) stopPlan {
-	exitAt := now.Add(grace - exitMargin)
-	closeAt := now.Add(min(unreadyDelay, grace/2))
-	return stopPlan{unlistedAt: closeAt.Add(-unlistedTime), closeAt: closeAt, cutAt: exitAt.Add(-refusalTime), exitAt: exitAt}
+	margin := min(exitMargin+refusalTime, grace/maxMarginDivisor)
+	end, closeAt := now.Add(grace), now.Add(min(unreadyDelay, grace/2))
+	return stopPlan{
+		unlistedAt: closeAt.Add(-unlistedTime), closeAt: closeAt,
+		cutAt: end.Add(-margin), exitAt: end.Add(-margin * exitMargin / (exitMargin + refusalTime)),
+	}
 }
 
 // errCut is why a request ends that still runs at the end of its entry's grace period.
--- a/internal/forwarder/stopping_test.go
+++ b/internal/forwarder/stopping_test.go
@@ -127,3 +127,21 @@
 		t.Errorf("status (-want +got):\n%s", diff)
 	}
 }
+
+// TestPlanStop checks the times of stops from a table.
+func TestPlanStop(t *testing.T) {
+	type Times struct{ Unlisted, Close, Cut, Exit time.Duration }
+	type planCase struct {
+		Name  string
+		Grace time.Duration
+		Times `yaml:",inline"`
+	}
+	start := time.UnixMilli(0)
+	for _, c := range tester.Load[planCase](t, "stops.yaml") {
+		p := planStop(c.Grace, start)
+		got := Times{p.unlistedAt.Sub(start), p.closeAt.Sub(start), p.cutAt.Sub(start), p.exitAt.Sub(start)}
+		if diff := cmp.Diff(c.Times, got); diff != "" {
+			t.Errorf("%s: times (-want +got):\n%s", c.Name, diff)
+		}
+	}
+}
