Find watches whose connection to the store is silent by the store's own revision (DRAIN)

An idle connection to the store had fallen silent, and the next watch of the servers went out on it.

Cause: what ended a silent connection was the kernel of its peer. The last repair bounds how long bytes may be unacknowledged; where the peer's kernel, or what stands between, acknowledges them and nothing answers, the watch waited for its own 20 s and the call's 1.5 s. An acknowledgement says nothing of the process that must answer.

Change: the store numbers the changes of all kinds in one series and each answer names its state. An entry now keeps which numbers its watches have brought. When an answer to any call shows a change that none has, and it does not come within 0.3 s (0.7 s if a watch pauses that may read it), the watches that miss it are read at once on new connections. The plan's watch, which waits for at most 0.4 of the time of a change (1 s for 2.5 s; 2 s before), is the clock of that. A call whose answer does not begin 0.5 s after its wait is repeated once on a new connection, and the first answer counts, so a store that is only slow is not taken for a silent one. Changes are known within 1.0 + 0.3 + 0.3 s, with the plan's own connection silent within 1.0 + 0.5 + 0.6 s.

The log now says which kind a watch missed, and the metric store_calls counts them.

tester.Listener plays both forms, and falls back to the acknowledged one where the kernel takes no filter; rows of channels.yaml name theirs. Those of the store wait as long as the entry's watches of the plan do, since the client no longer bounds other watches by itself.

--- a/internal/agent/cut_test.go
+++ b/internal/agent/cut_test.go
@@ -96,7 +96,7 @@
 					continue
 				}
 				fmt.Fprint(conn, text[:cut])
-				if tc, ok := conn.(*net.TCPConn); ok && how == "reset" {
+				if tc, ok := conn.(interface{ SetLinger(int) error }); ok && how == "reset" {
 					// What was sent must arrive before the reset.
 					time.Sleep(2 * time.Millisecond)
 					_ = tc.SetLinger(0)
--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -80,7 +80,10 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(ps.Platform.Address)
+	store := platform.NewStore(platform.StoreConfig{Address: ps.Platform.Address, OnSilence: func(key string, waited time.Duration) {
+		m.Count("store_calls/silent", 1)
+		log.Warn().Str("key", key).Dur("waited", waited).Msg("direct: the store is silent on an open connection, calling it on a new one")
+	}})
 	var gossip *gossiper.Gossiper
 	relays := newRelays(s, func() []model.Instance { return gossip.Members() })
 	defer relays.pool.Close()
--- a/internal/dialer/channels_test.go
+++ b/internal/dialer/channels_test.go
@@ -26,8 +26,8 @@
 	change     func() error
 }
 
-// watched returns the channel to a store, whose watches wait up to twenty seconds.
-func watched(store storer.Store, change func() error) channel {
+// watched returns the channel to a store, whose watches wait as long as the plan's do.
+func watched(store storer.Store, wait time.Duration, change func() error) channel {
 	var revision model.Revision
 	return channel{
 		change: change,
@@ -37,7 +37,7 @@
 			return err
 		},
 		hold: func(ctx context.Context) error {
-			_, err := store.Watch(ctx, "things", revision, 20*time.Second)
+			_, err := store.Watch(ctx, "things", revision, wait)
 			return err
 		},
 	}
@@ -125,6 +125,8 @@
 func TestSilentChannelHidesChanges(t *testing.T) {
 	type channelCase struct {
 		Channel string
+		// Form is the way in which the connection is silent.
+		Form tester.Silence
 		// Idle is how long the connection is silent before it is used.
 		Idle time.Duration
 		// Waits tells of a call that waits for an answer: one that was sent "before" the connection fell silent, or "after".
@@ -133,7 +135,7 @@
 		Within time.Duration
 	}
 	for _, c := range tester.Load[channelCase](t, "channels.yaml") {
-		t.Run(fmt.Sprintf("%s, idle %v, waits %s", c.Channel, c.Idle, c.Waits), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%s, %s, idle %v, waits %s", c.Channel, c.Form, c.Idle, c.Waits), func(t *testing.T) {
 			t.Parallel()
 			l := tester.Listen(t)
 			var ch channel
@@ -141,11 +143,11 @@
 			case "store":
 				store := platformstandin.NewStore()
 				served(t, l, store)
-				ch = watched(platform.NewStore(l.Addr().String()), func() error { return store.Set("things/a", 1) })
+				ch = watched(platform.NewStore(platform.StoreConfig{Address: l.Addr().String()}), relayer.NewTiming(platformstandin.ConfigMs*time.Millisecond).OwnWait, func() error { return store.Set("things/a", 1) })
 			case "platform":
 				p := standin.NewPlatform()
 				served(t, l, p.Handler())
-				ch = watched(storer.NewClient(storer.ClientConfig{URL: "http://" + l.Addr().String()}), func() error {
+				ch = watched(storer.NewClient(storer.ClientConfig{URL: "http://" + l.Addr().String()}), 20*time.Second, func() error {
 					_, err := p.Put(t.Context(), "things/a", []byte("1"), 0)
 					return err
 				})
@@ -169,7 +171,7 @@
 			if c.Waits == "before" {
 				hold()
 			}
-			l.Silence(t)
+			l.Silence(t, c.Form)
 			time.Sleep(c.Idle)
 			start := time.Now()
 			if c.Waits == "after" {
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +14,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 )
@@ -48,8 +51,9 @@
 			fmt.Fprintln(conn, "call")
 			time.Sleep(50 * time.Millisecond)
 			start := time.Now()
-			if !c.Slow {
-				l.Silence(t)
+			if !c.Slow && l.Silence(t, tester.Dropped) != tester.Dropped {
+				checkOptions(t, conn)
+				return
 			}
 			if c.Send {
 				fmt.Fprintln(conn, "another call")
@@ -68,51 +72,95 @@
 	}
 }
 
+// checkOptions checks the options that bound the silence of a connection, where the kernel does not let a test play it.
+func checkOptions(t *testing.T, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[int]int{
+		unix.TCP_USER_TIMEOUT: int(Unacked.Milliseconds()), unix.TCP_KEEPIDLE: int(probeInterval.Seconds()),
+		unix.TCP_KEEPINTVL: int(probeInterval.Seconds()), unix.TCP_KEEPCNT: 2,
+	}
+	got := map[int]int{}
+	controlErr := raw.Control(func(fd uintptr) {
+		for option := range want {
+			if got[option], err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option); err != nil {
+				return
+			}
+		}
+	})
+	if err := errors.Join(controlErr, err); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("options of the connection differ (-want +got):\n%s", diff)
+	}
+}
+
 // TestSilentIdleConnectionsFailOneAfterTheOther guards against a call that is repeated on one idle connection after the
 // other, each of which has fallen silent.
 func TestSilentIdleConnectionsFailOneAfterTheOther(t *testing.T) {
-	const idle = 4
-	l := tester.Listen(t)
-	var together sync.WaitGroup
-	together.Add(idle)
-	var warm atomic.Bool
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !warm.Load() {
-			together.Done()
-			together.Wait()
-		}
-		_, _ = io.WriteString(w, "answer")
-	})}
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { server.Close() })
-	client := &http.Client{Transport: NewTransport(time.Second, idle)}
-	get := func() error {
-		resp, err := client.Get("http://" + l.Addr().String())
-		if err != nil {
-			return err
-		}
-		defer resp.Body.Close()
-		_, err = io.ReadAll(resp.Body)
-		return err
-	}
-	var calls sync.WaitGroup
-	for range idle {
-		calls.Go(func() {
-			if err := get(); err != nil {
-				t.Error(err)
+	for _, how := range []tester.Silence{tester.Dropped, tester.Acknowledged} {
+		t.Run(string(how), func(t *testing.T) {
+			t.Parallel()
+			const idle = 4
+			l := tester.Listen(t)
+			var together sync.WaitGroup
+			together.Add(idle)
+			var warm atomic.Bool
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !warm.Load() {
+					together.Done()
+					together.Wait()
+				}
+				_, _ = io.WriteString(w, "answer")
+			})}
+			go func() { _ = server.Serve(l) }()
+			t.Cleanup(func() { server.Close() })
+			client := &http.Client{Transport: NewTransport(time.Second, idle)}
+			get := func(ctx context.Context, progress func()) (string, error) {
+				r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Addr().String(), nil)
+				if err != nil {
+					return "", err
+				}
+				resp, err := client.Do(r)
+				if err != nil {
+					return "", err
+				}
+				defer resp.Body.Close()
+				b, err := ReadAll(resp.Body, progress)
+				return string(b), err
+			}
+			var calls sync.WaitGroup
+			for range idle {
+				calls.Go(func() {
+					if _, err := get(t.Context(), func() {}); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			calls.Wait()
+			warm.Store(true)
+			limit := time.Minute
+			if l.Silence(t, how) == tester.Acknowledged {
+				// The kernel finds nothing.
+				limit = Unacked
+			}
+			start := time.Now()
+			_, err := Repetition[string]{
+				Limit: limit, Gap: limit, Call: get, OnSilence: client.CloseIdleConnections,
+				Again: func(ctx context.Context) (string, error) { return get(ctx, func() {}) },
+			}.Do(t.Context())
+			if err != nil {
+				t.Errorf("the call failed although new connections work: %v", err)
+			}
+			if took := time.Since(start); took > Unacked+slack {
+				t.Errorf("the call took %v, want at most %v", took, Unacked+slack)
 			}
 		})
 	}
-	calls.Wait()
-	warm.Store(true)
-	l.Silence(t)
-	start := time.Now()
-	if err := get(); err != nil {
-		t.Errorf("the call failed although new connections work: %v", err)
-	}
-	if took := time.Since(start); took > Unacked+slack {
-		t.Errorf("the call took %v, want at most %v", took, Unacked+slack)
-	}
 }
 
 // TestClosedPortIsNoSilence checks that a refused connection fails at once.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -80,6 +80,9 @@
 	// revisions holds the revision of the last update of each kind; updates guards it.
 	revisions map[string]model.Revision
 	relayed   relayState
+	calls     coveredCalls
+	// planWait is the longest wait of one watch of the plan that no other entry depends on.
+	planWait time.Duration
 	// outageEnded is nil while the store answers. An outage sets it and closes it at its end.
 	outageEnded chan struct{}
 }
@@ -96,9 +99,12 @@
 		feed:          relayer.NewFeed(),
 		revisions:     map[string]model.Revision{},
 		floor:         floor{newEra: make(chan struct{}, 1)},
+		calls:         coveredCalls{coverage: newCoverage(), end: map[string]context.CancelCauseFunc{}},
+		planWait:      planWait,
 	}
 	if cfg.Relays != nil {
 		f.relayed.relayWait = cfg.Relays.Timing.Wait
+		f.planWait = min(planWait, cfg.Relays.Timing.OwnWait)
 	}
 	f.relayed.inactive = make(chan struct{})
 	close(f.relayed.inactive)
@@ -122,7 +128,7 @@
 // subscriptions returns how each kind is watched. The kind of the plan is first.
 func (f *Follower) subscriptions() []subscription {
 	return []subscription{
-		{kind: f.cfg.Kinds.Plan, wait: planWait, gap: planGap, backoff: maxPlanBackoff, apply: f.applyPlan, confirm: f.confirmAsOf},
+		{kind: f.cfg.Kinds.Plan, wait: f.planWait, gap: planGap, backoff: maxPlanBackoff, apply: f.applyPlan, confirm: f.confirmAsOf},
 		{kind: f.cfg.Kinds.Servers, wait: otherWait, gap: serversGap, backoff: maxBackoff, apply: f.applyServers},
 		{kind: f.cfg.Kinds.Orders, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applyOrders},
 		{kind: f.cfg.Kinds.Shared, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applySharedObjects},
--- a/internal/follower/odd_test.go
+++ b/internal/follower/odd_test.go
@@ -141,7 +141,7 @@
 	makeOdd()
 	log := &logLines{}
 	f := newPlatformFollower(t, store, zerolog.New(log))
-	f.cfg.Store = platform.NewStore(server.Listener.Addr().String())
+	f.cfg.Store = platform.NewStore(platform.StoreConfig{Address: server.Listener.Addr().String()})
 	runUntilEnd(t, f)
 	awaitUsable := func(want ...model.BackendID) {
 		t.Helper()
@@ -237,7 +237,7 @@
 			}
 			publish(1)
 			f := newPlatformFollower(t, store, zerolog.Nop())
-			f.cfg.Store = platform.NewStore(server.Listener.Addr().String())
+			f.cfg.Store = platform.NewStore(platform.StoreConfig{Address: server.Listener.Addr().String()})
 			runUntilEnd(t, f)
 			await(t, "the lists", applyWithin, func() bool { return isReady(f) })
 			for _, key := range []string{"config/main", "config/odd", "rollouts/odd", "marks/odd"} {
--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -72,8 +72,9 @@
 	pause time.Duration
 }
 
-// planWait returns the longest wait of one watch of the plan; followed says whether other entries depend on it.
-func (r *relayState) planWait(followed bool) time.Duration {
+// planWait returns the longest wait of one watch of the plan, which is own unless relays tell of changes or other entries
+// depend on this one, as followed says.
+func (r *relayState) planWait(own time.Duration, followed bool) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -82,7 +83,7 @@
 	case r.relay && followed:
 		return r.relayWait
 	}
-	return planWait
+	return own
 }
 
 // gap returns the pause after an answer with changes.
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -37,7 +37,7 @@
 	t.Cleanup(server.Close)
 	start := time.Now()
 	return New(Config{
-		Store: platform.NewStore(server.Listener.Addr().String()),
+		Store: platform.NewStore(platform.StoreConfig{Address: server.Listener.Addr().String()}),
 		Kinds: Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: "marks"},
 		Decode: Decoder{
 			IsPlan: platform.IsManifestKey, Plan: platform.DecodePlan, Server: platform.Settings{}.DecodeServer, Order: platform.DecodeRollout,
--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	// planWait is the longest wait of one watch of the plan. While the store answers, API keys are
-	// confirmed at this interval. Shorter waits cost more calls; longer ones leave the keys closer
-	// to MaxKeyAge when an outage begins.
+	// planWait is the longest wait of one watch of the plan, less where changes must be in force sooner
+	// (relayer.Timing). While the store answers, API keys are confirmed at this interval, and each answer shows whether
+	// the other watches miss changes. Shorter waits cost more calls; longer ones leave the keys closer to MaxKeyAge when
+	// an outage begins.
 	planWait = 2 * time.Second
 	// missedEventWindow is how long a watch may miss changes without an error: a store that compacts
 	// its history sends waiting watches nothing for about a second before it closes them.
 	missedEventWindow = 1200 * time.Millisecond
-	// otherWait is the longest wait of the other watches. The store's client ends a call on a connection that fell
-	// silent long before that.
+	// otherWait is the longest wait of the other watches. Those whose connection fell silent are found by the plan's
+	// answers long before that (coverage).
 	otherWait = 20 * time.Second
 	// planGap, serversGap and otherGap are the pauses after an answer with changes, so that several
 	// changes in quick succession cost one call. They are short compared with the time within which
@@ -97,7 +98,7 @@
 			full = true
 			f.handleHistoryLoss(now)
 			continue
-		case errors.Is(err, errHistoryLost), errors.Is(err, errReadNow):
+		case errors.Is(err, errHistoryLost), errors.Is(err, errReadNow), errors.Is(err, errMissed):
 			immediate = true
 			continue
 		case errors.Is(err, errRelayed):
@@ -123,6 +124,8 @@
 			continue
 		}
 		f.countCall(s, "answered")
+		f.calls.answer(s.kind, listing)
+		f.endMissing(now, listing.Silent)
 		stale = false
 		regained := !lostAt.IsZero() && now.Sub(lostAt) >= minOutage
 		if !lostAt.IsZero() {
@@ -217,6 +220,7 @@
 	errHistoryLost = errors.New("another watch found the history gone")
 	errRelayed     = errors.New("relays tell of changes")
 	errReadNow     = errors.New("relays know a newer plan or fell silent")
+	errMissed      = errors.New("another call found a change that this watch has not brought")
 )
 
 // cancelWatches ends all watches, since their connections may have stopped responding.
@@ -246,20 +250,22 @@
 }
 
 // watch waits for changes. It ends early when the watch of another kind finds that the store or its
-// history is lost, so that this one may no longer receive any.
+// history is lost, so that this one may no longer receive any, or that this one misses changes.
 func (f *Follower) watch(ctx context.Context, s subscription, from model.Revision) (storer.Listing, time.Duration, error) {
 	f.mu.RLock()
 	watchCtx := f.watchCtx
 	f.mu.RUnlock()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(watchCtx, cancel)()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(watchCtx, func() { cancel(context.Cause(watchCtx)) })()
+	f.calls.begin(s.kind, cancel, time.Now())
+	defer func() { f.calls.finish(s.kind, time.Now()) }()
 	wait := s.wait
 	if s.confirm != nil {
-		wait = f.relayed.planWait(f.feed.IsFollowed(f.cfg.Clock()))
+		wait = f.relayed.planWait(s.wait, f.feed.IsFollowed(f.cfg.Clock()))
 	}
 	listing, err := f.cfg.Store.Watch(ctx, s.kind, from, wait)
-	if cause := context.Cause(watchCtx); err != nil && cause != nil && !errors.Is(cause, errStoreLost) {
+	if cause := context.Cause(ctx); err != nil && cause != nil && !errors.Is(cause, errStoreLost) {
 		return storer.Listing{}, 0, cause
 	}
 	return listing, wait, err
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -321,7 +321,7 @@
 }
 
 func reset(c net.Conn) {
-	if tc, ok := c.(*net.TCPConn); ok {
+	if tc, ok := c.(interface{ SetLinger(int) error }); ok {
 		_ = tc.SetLinger(0)
 	}
 	c.Close()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -27,6 +27,9 @@
 	// while the store answers: the time of a call and the pause after a change.
 	minWait    = 300 * time.Millisecond
 	watchSlack = 400 * time.Millisecond
+	// ownWaitPart is the part of that time for which a watch of the plan may wait. Its connection may have fallen silent
+	// meanwhile; the rest is for noticing that the answer is late, a new connection and the repeated call.
+	ownWaitPart = 0.4
 )
 
 // Timing holds the times that follow from how long a change may take until it is in force.
@@ -35,6 +38,8 @@
 	MaxAge time.Duration
 	// Wait is the longest wait of one watch of the plan at a relay, so that its knowledge stays younger than MaxAge.
 	Wait time.Duration
+	// OwnWait is the longest wait of one watch of the plan at an entry that nobody follows.
+	OwnWait time.Duration
 }
 
 // NewTiming returns the times for changes that must be in force within a duration; 0 selects the default.
@@ -44,6 +49,7 @@
 	}
 	t := Timing{MaxAge: time.Duration(maxAgePart * float64(applyWithin))}
 	t.Wait = max((t.MaxAge-watchSlack)/2, minWait)
+	t.OwnWait = max(time.Duration(ownWaitPart*float64(applyWithin)), minWait)
 	return t
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -212,6 +212,9 @@
 	}
 }
 
+// Renew implements storer.Store. There are no connections.
+func (*Platform) Renew() {}
+
 // Watch implements storer.Store.
 func (p *Platform) Watch(ctx context.Context, prefix string, from model.Revision, wait time.Duration) (storer.Listing, error) {
 	if err := p.beginCall(ctx, prefix, false); err != nil {
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -92,6 +92,9 @@
 	return l, err
 }
 
+// Renew implements Store.
+func (c *Client) Renew() { c.http.CloseIdleConnections() }
+
 // Instances returns the platform's instance list.
 func (c *Client) Instances(ctx context.Context) ([]model.Instance, error) {
 	var list []model.Instance
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -31,18 +31,22 @@
 type Listing struct {
 	Objects  []Object       `json:"objects"`
 	Revision model.Revision `json:"revision"`
+	// Silent is set if the answer came on a new connection, since the one that the call was sent on is silent.
+	Silent bool `json:"-"`
 }
 
 // Store is the platform's object API.
 //
 // Put with expect 0 creates the object only if it does not exist; any other expect must equal the
-// stored revision. A Watch from a revision of an earlier era ends with KindCompacted. Errors are of type *Error.
+// stored revision. A Watch from a revision of an earlier era ends with KindCompacted. Errors are of type *Error. Renew has
+// the next calls open connections, since those that were used before may have fallen silent.
 type Store interface {
 	Get(ctx context.Context, key string) (Object, error)
 	List(ctx context.Context, prefix string) (Listing, error)
 	Put(ctx context.Context, key string, value []byte, expect model.Revision) (model.Revision, error)
 	Delete(ctx context.Context, key string, expect model.Revision) error
 	Watch(ctx context.Context, prefix string, from model.Revision, wait time.Duration) (Listing, error)
+	Renew()
 }
 
 // Reporter writes the status of an object, which is stored apart from its value.
