Call the own deployment's platform on a new connection when an open one is silent

A caller's request may have been served by a document that the operator had replaced over three seconds before: the process waits for the platform on a connection that acknowledges what is sent and answers nothing.

The client repeats a call that changes nothing on a new connection, when its answer does not begin 0.7 s after its wait, as that of the users' store does, and logs it. The rows use the wait of the watcher, which they did not know before.

--- a/internal/assembler/providers.go
+++ b/internal/assembler/providers.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/tls"
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -65,8 +66,10 @@
 	})
 }
 
-func provideStoreClient(s *model.Settings) *storer.Client {
-	return storer.NewClient(storer.ClientConfig{URL: s.Platform})
+func provideStoreClient(s *model.Settings, log zerolog.Logger) *storer.Client {
+	return storer.NewClient(storer.ClientConfig{URL: s.Platform, OnSilence: func(key string, waited time.Duration) {
+		log.Warn().Str("key", key).Dur("waited", waited).Msg("storer: the platform is silent on an open connection, calling it on a new one")
+	}})
 }
 
 func provideWatcher(s *model.Settings, self model.Instance, store storer.Store, lister storer.Lister, pool *messenger.Pool, log zerolog.Logger) *watcher.Watcher {
--- a/internal/assembler/wire_gen.go
+++ b/internal/assembler/wire_gen.go
@@ -19,13 +19,13 @@
 // NewEntry builds an entry process from its settings.
 func NewEntry(s *model.Settings, out Output) (*EntryProcess, error) {
 	instance := provideSelf(s)
-	client := provideStoreClient(s)
+	logger := provideLogger(out, s)
+	client := provideStoreClient(s, logger)
 	config, err := provideTLS(s)
 	if err != nil {
 		return nil, err
 	}
 	pool := providePool(s, config)
-	logger := provideLogger(out, s)
 	watcher := provideWatcher(s, instance, client, client, pool, logger)
 	workClient := provideWorkClient(s, config)
 	ledger := provideLedger(s, client, logger)
@@ -42,13 +42,13 @@
 // NewAgent builds an agent process from its settings.
 func NewAgent(s *model.Settings, out Output) (*AgentProcess, error) {
 	instance := provideSelf(s)
-	client := provideStoreClient(s)
+	logger := provideLogger(out, s)
+	client := provideStoreClient(s, logger)
 	config, err := provideTLS(s)
 	if err != nil {
 		return nil, err
 	}
 	pool := providePool(s, config)
-	logger := provideLogger(out, s)
 	watcher := provideWatcher(s, instance, client, client, pool, logger)
 	recorderClient := provideAgentRecorderClient(s, watcher, pool, logger)
 	meterMeter := meter.New()
--- a/internal/dialer/channels_test.go
+++ b/internal/dialer/channels_test.go
@@ -14,6 +14,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/standin"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
+	"github.com/bramleyhinge/bramleyhinge/internal/watcher"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 	"github.com/bramleyhinge/bramleyhinge/platform"
 	platformstandin "github.com/bramleyhinge/bramleyhinge/platform/standin"
@@ -26,7 +27,7 @@
 	change     func() error
 }
 
-// watched returns the channel to a store, whose watches wait as long as the plan's do.
+// watched returns the channel to a store, whose watches wait for some time.
 func watched(store storer.Store, wait time.Duration, change func() error) channel {
 	var revision model.Revision
 	return channel{
@@ -147,7 +148,7 @@
 			case "platform":
 				p := standin.NewPlatform()
 				served(t, l, p.Handler())
-				ch = watched(storer.NewClient(storer.ClientConfig{URL: "http://" + l.Addr().String()}), 20*time.Second, func() error {
+				ch = watched(storer.NewClient(storer.ClientConfig{URL: "http://" + l.Addr().String()}), watcher.WatchWait, func() error {
 					_, err := p.Put(t.Context(), "things/a", []byte("1"), 0)
 					return err
 				})
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -20,12 +20,20 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxIdleConns is the number of connections that are kept between calls.
 	maxIdleConns = 16
+	// answerLimit is the time within which an answer begins, after the wait that its call asks for, unless the connection
+	// fell silent. With the wait of a watch, a new connection and the repeated call it is well below the configuration
+	// lease.
+	answerLimit = 700 * time.Millisecond
+	// noWait has a watch return the changes so far at once.
+	noWait = time.Millisecond
 )
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	URL     string
 	Timeout time.Duration
+	// OnSilence is called with the key of a call that has waited for so long that its connection counts as silent.
+	OnSilence func(key string, waited time.Duration)
 }
 
 // Client calls the platform's object API and instance list over HTTP.
@@ -39,6 +47,9 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = 2 * time.Second
 	}
+	if cfg.OnSilence == nil {
+		cfg.OnSilence = func(string, time.Duration) {}
+	}
 	return &Client{cfg: cfg, http: &http.Client{Transport: dialer.NewTransport(dialTimeout, maxIdleConns)}}
 }
 
@@ -87,8 +98,8 @@
 // empty listing when the wait ends.
 func (c *Client) Watch(ctx context.Context, prefix string, from model.Revision, wait time.Duration) (Listing, error) {
 	var l Listing
-	path := fmt.Sprintf("/watch?prefix=%s&from=%d&wait=%s", url.QueryEscape(prefix), from, wait)
-	err := c.call(ctx, http.MethodGet, path, nil, &l, call{key: prefix, wait: wait})
+	path := fmt.Sprintf("/watch?prefix=%s&from=%d", url.QueryEscape(prefix), from)
+	err := c.call(ctx, http.MethodGet, path, nil, &l, call{key: prefix, wait: max(wait, noWait)})
 	return l, err
 }
 
@@ -110,42 +121,81 @@
 	wait    time.Duration
 }
 
+// reply is what the platform answered to a call.
+type reply struct {
+	status int
+	body   []byte
+}
+
+// call makes a call. If the answer is late, the connection may have fallen silent: a call that changes nothing is made
+// once more on a new connection, and a watch returns what changed so far.
 func (c *Client) call(ctx context.Context, method, path string, in, out any, opts call) error {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout+opts.wait)
-	defer cancel()
-	var body io.Reader
+	var body []byte
 	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
 			return fmt.Errorf("encode request body for %s: %w", path, err)
 		}
-		body = bytes.NewReader(b)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, body)
-	if err != nil {
+	if _, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, nil); err != nil {
 		return fmt.Errorf("build request for %s: %w", path, err)
 	}
-	resp, err := c.http.Do(r)
-	if err != nil {
-		return c.noAnswerError(opts, err)
+	r := dialer.Repetition[reply]{
+		Limit: opts.wait + answerLimit, Gap: answerLimit,
+		Call: func(ctx context.Context, progress func()) (reply, error) {
+			return c.exchange(ctx, method, path, body, opts.wait, progress)
+		},
+		OnSilence: func() {
+			c.Renew()
+			c.cfg.OnSilence(opts.key, opts.wait+answerLimit)
+		},
 	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
+	if !opts.mutates {
+		r.Again = func(ctx context.Context) (reply, error) {
+			return c.exchange(ctx, method, path, body, min(opts.wait, noWait), func() {})
+		}
+	}
+	a, err := r.Do(ctx)
 	if err != nil {
 		return c.noAnswerError(opts, err)
 	}
-	if resp.StatusCode >= 300 {
-		return decodeError(opts, resp.StatusCode, b)
+	if a.status >= http.StatusMultipleChoices {
+		return decodeError(opts, a.status, a.body)
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(b, out); err != nil {
+	if err := json.Unmarshal(a.body, out); err != nil {
 		return c.noAnswerError(opts, err)
 	}
 	return nil
 }
 
+// exchange sends a request once, for which the platform may wait before it answers, and reads the answer.
+func (c *Client) exchange(ctx context.Context, method, path string, body []byte, wait time.Duration, progress func()) (reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout+wait)
+	defer cancel()
+	if wait > 0 {
+		path += "&wait=" + wait.String()
+	}
+	var content io.Reader
+	if body != nil {
+		content = bytes.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, content)
+	if err != nil {
+		return reply{}, err
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	progress()
+	b, err := dialer.ReadAll(resp.Body, progress)
+	return reply{status: resp.StatusCode, body: b}, err
+}
+
 // noAnswerError classifies the failure of a call that got no readable answer. The outcome of a
 // mutating call is unknown, since the change may have taken effect.
 func (c *Client) noAnswerError(opts call, err error) error {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -20,7 +20,8 @@
 // Intervals and limits of the configuration traffic. The sum of the intervals stays well below the
 // lease.
 const (
-	watchWait         = 500 * time.Millisecond
+	// WatchWait is the longest wait of one watch of the platform.
+	WatchWait         = 500 * time.Millisecond
 	pollWait          = 800 * time.Millisecond
 	listInterval      = 2 * time.Second
 	instancesInterval = time.Second
@@ -273,7 +274,7 @@
 
 func (w *Watcher) watchOnce(ctx context.Context) error {
 	start := time.Now()
-	l, err := w.cfg.Store.Watch(ctx, Prefix, w.feed.Revision(), watchWait)
+	l, err := w.cfg.Store.Watch(ctx, Prefix, w.feed.Revision(), WatchWait)
 	if storer.IsKind(err, storer.KindCompacted) {
 		return w.resumeFromList(ctx)
 	}
