Have the peer of a control connection answer pings while it owes an answer

A control connection whose peer acknowledges what is sent and answers nothing was never given up: calls to an entry or an agent failed one after the other, by their own time limits, for as long as the process ran. Documents from relays, load, reports and records of the ledger did not pass; a document that was withdrawn stayed in force until the lease ended.

A call's own time limit says nothing of the connection, since a poll may wait for long, so the pool kept it.

While a peer owes an answer, it is pinged 0.8 s after its last one, and the connection is closed if neither a pong nor another answer comes within 0.7 s. The peer's process must read and write for that; any answer counts, also an error of one that does not know the call. Calls that are answered more often than that cost no ping, idle connections neither. OnSilence logs what was closed.

--- a/internal/assembler/providers.go
+++ b/internal/assembler/providers.go
@@ -54,9 +54,12 @@
 	}
 }
 
-func providePool(s *model.Settings, tlsConfig *tls.Config) *messenger.Pool {
+func providePool(s *model.Settings, tlsConfig *tls.Config, log zerolog.Logger) *messenger.Pool {
 	return messenger.NewPool(messenger.ClientConfig{
 		Instance: s.Instance, Role: s.Role, Secret: messenger.Secret(s.Secret), TLS: tlsConfig,
+		OnSilence: func(addr string) {
+			log.Warn().Str("address", addr).Msg("messenger: the process at this address is silent on an open connection, which is closed")
+		},
 	})
 }
 
--- a/internal/assembler/wire_gen.go
+++ b/internal/assembler/wire_gen.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := providePool(s, config)
+	pool := providePool(s, config, logger)
 	watcher := provideWatcher(s, instance, client, client, pool, logger)
 	workClient := provideWorkClient(s, config)
 	ledger := provideLedger(s, client, logger)
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := providePool(s, config)
+	pool := providePool(s, config, logger)
 	watcher := provideWatcher(s, instance, client, client, pool, logger)
 	recorderClient := provideAgentRecorderClient(s, watcher, pool, logger)
 	meterMeter := meter.New()
--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -85,7 +85,7 @@
 		log.Warn().Str("key", key).Dur("waited", waited).Msg("direct: the store is silent on an open connection, calling it on a new one")
 	}})
 	var gossip *gossiper.Gossiper
-	relays := newRelays(s, func() []model.Instance { return gossip.Members() })
+	relays := newRelays(s, func() []model.Instance { return gossip.Members() }, log)
 	defer relays.pool.Close()
 	platformState := follower.New(follower.Config{
 		Relays: relays.config(),
--- a/internal/cli/relays.go
+++ b/internal/cli/relays.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/bramleyhinge/bramleyhinge/internal/follower"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/relayer"
@@ -30,13 +32,18 @@
 	server  *messenger.Server
 }
 
-func newRelays(s model.DirectSettings, members func() []model.Instance) *relays {
+func newRelays(s model.DirectSettings, members func() []model.Instance, log zerolog.Logger) *relays {
 	return &relays{
 		self:    model.Instance{Instance: s.Instance, Role: model.RoleEntry, Control: s.Gossip, Place: s.Place},
 		members: members,
 		timing:  relayer.NewTiming(s.ApplyWithin),
-		pool:    messenger.NewPool(messenger.ClientConfig{Instance: s.Instance, Role: model.RoleEntry, DialTimeout: relayDialTimeout}),
-		server:  messenger.NewServer(messenger.ServerConfig{Instance: s.Instance, Connections: maxPollers}),
+		pool: messenger.NewPool(messenger.ClientConfig{
+			Instance: s.Instance, Role: model.RoleEntry, DialTimeout: relayDialTimeout,
+			OnSilence: func(addr string) {
+				log.Info().Str("address", addr).Msg("direct: a relay is silent on an open connection, which is closed")
+			},
+		}),
+		server: messenger.NewServer(messenger.ServerConfig{Instance: s.Instance, Connections: maxPollers}),
 	}
 }
 
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -22,6 +22,8 @@
 	Secret      Secret
 	TLS         *tls.Config
 	DialTimeout time.Duration
+	// OnSilence is called with the address of a connection that is closed because its peer answers nothing.
+	OnSilence func(addr string)
 }
 
 // Pool keeps one control connection for each address, which the first call opens.
@@ -35,6 +37,7 @@
 type peerConn struct {
 	dialled chan struct{}
 	conn    *jsonrpc2.Conn
+	beat    *heartbeat
 	err     error
 }
 
@@ -43,19 +46,25 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = time.Second
 	}
+	if cfg.OnSilence == nil {
+		cfg.OnSilence = func(string) {}
+	}
 	return &Pool{cfg: cfg, conns: map[string]*peerConn{}}
 }
 
 // Call sends one control call to the address and waits for its reply.
 func Call[Out, In any](ctx context.Context, p *Pool, addr string, m Method, in In) (Out, error) {
 	var out Out
-	conn, err := p.connect(ctx, addr)
+	l, err := p.connect(ctx, addr)
 	if err != nil {
 		return out, err
 	}
-	if err := conn.Call(ctx, string(m), in, &out); err != nil {
+	l.beat.begin(time.Now())
+	err = l.conn.Call(ctx, string(m), in, &out)
+	l.beat.end(err, time.Now())
+	if err != nil {
 		if errors.Is(err, jsonrpc2.ErrClosed) {
-			p.drop(addr, conn)
+			p.drop(addr, l.conn)
 		}
 		return out, fmt.Errorf("call %s at %s: %w", m, addr, decodeError(err))
 	}
@@ -81,7 +90,7 @@
 // Drop closes the connection to an address so that the next call dials again.
 func (p *Pool) Drop(addr string) { p.drop(addr, nil) }
 
-func (p *Pool) connect(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+func (p *Pool) connect(ctx context.Context, addr string) (*peerConn, error) {
 	p.mu.Lock()
 	l, ok := p.conns[addr]
 	if !ok {
@@ -94,7 +103,7 @@
 	case <-ctx.Done():
 		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 	case <-l.dialled:
-		return l.conn, l.err
+		return l, l.err
 	}
 }
 
@@ -123,6 +132,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.DialTimeout)
 	defer cancel()
 	l.conn, l.err = p.openConn(ctx, addr)
+	l.beat = &heartbeat{conn: l.conn, onSilence: func() { p.cfg.OnSilence(addr) }}
 	close(l.dialled)
 	if l.err != nil {
 		p.mu.Lock()
--- a/internal/messenger/messages.go
+++ b/internal/messenger/messages.go
@@ -16,6 +16,7 @@
 const (
 	MethodChallenge Method = "challenge"
 	MethodHello     Method = "hello"
+	MethodPing      Method = "ping"
 	MethodPoll      Method = "poll"
 	MethodLoad      Method = "load"
 	MethodRecord    Method = "record"
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -145,6 +145,8 @@
 		return ChallengeReply{Nonce: s.nonce}, nil
 	case MethodHello:
 		return s.authenticate(params)
+	case MethodPing:
+		return Empty{}, nil
 	}
 	s.mu.Lock()
 	peer := s.peer
