Ping agents after 0.8 s of silence on a work connection instead of 5 s

Requests of callers that an entry sent to an agent, and cancellations, waited for up to ten seconds on a connection that acknowledged what was sent and answered nothing, although a new one would have served them at once. The promise of the connection is 2 s.

Cause: the kernel of the peer was trusted to end a silent connection; HTTP/2 pings, which the agent's process answers, were there for frozen agents only and took 5 s each to be sent and to be missed.

Pings go out after 0.8 s without a frame and may take 0.7 s, as those of control connections.

--- a/internal/messenger/heartbeat.go
+++ b/internal/messenger/heartbeat.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// pingAfter is how long a control connection may owe an answer before the peer is asked for one. Calls that are
-	// answered more often than that cost no pings.
+	// pingAfter is how long a connection between processes may be quiet before the peer is asked for an answer, a control
+	// connection only while it owes one. Calls that are answered more often than that cost no pings.
 	pingAfter = 800 * time.Millisecond
 	// pongTimeout is how long the peer may take to answer a ping: many round trips, and the pauses of a busy process.
 	pongTimeout = 700 * time.Millisecond
--- a/internal/messenger/worker.go
+++ b/internal/messenger/worker.go
@@ -15,10 +15,7 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// HTTP/2 pings detect an agent that is frozen while a stream is open; the dialer's probes find one that is unreachable.
 const (
-	pingIdle         = 5 * time.Second
-	pingTimeout      = 5 * time.Second
 	shortCallTimeout = time.Second
 	// workDialTimeout is many round trips between regions.
 	workDialTimeout = 500 * time.Millisecond
@@ -44,7 +41,8 @@
 		Protocols:       HTTP2Protocols(cfg.TLS),
 		TLSClientConfig: cfg.TLS,
 		IdleConnTimeout: time.Minute,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout},
+		// The agent's process answers pings; its kernel acknowledges also for one that is frozen.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pongTimeout},
 	}
 	scheme := "http"
 	if cfg.TLS != nil {
