Repeat requests on new connections once a backend server was silent on an open one

When the open connections to all backend servers of a service fell silent at once, callers of idempotent routes got 504, or 502, although new connections worked: each attempt went out on another idle connection that was silent as well, and the last one waited until the time limit, since no attempt was left.

Evidence: TestSilentIdleConnectionsDelayOneRequestEach, two backend servers with six idle connections each that fall silent.

Once a backend server is silent, the request's further attempts open connections, and idle connections to that server which brought no answer since the attempt began are closed. So each server delays one request, and every request of the test is answered. A request that must run once, or whose service has a single server, still waits for its time limit: whether the server is slow or the connection silent cannot be told apart without running it twice.

--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -266,6 +267,21 @@
 	return nil
 }
 
+// closeIdleSince closes the connections that carried no answer since a time and returns their number.
+func (p *peer) closeIdleSince(at time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := len(p.idleConns)
+	p.idleConns = slices.DeleteFunc(p.idleConns, func(c *conn) bool {
+		if c.idleSince.After(at) {
+			return false
+		}
+		c.close()
+		return true
+	})
+	return before - len(p.idleConns)
+}
+
 func (p *peer) putIdleConn(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -62,7 +62,7 @@
 	inFlight int
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
 	uncachedTokens int
-	// needsNewConn requests a new connection after an idle one was dropped; redialled is set once the
+	// needsNewConn requests a new connection after an idle one was dropped or was silent; redialled is set once the
 	// request was sent to the same backend server again for that reason, which sameAgain holds until then.
 	needsNewConn, redialled bool
 	sameAgain               *peer
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -131,6 +131,11 @@
 	if fail.kind == failureBroken {
 		go f.confirmCrash(p)
 	}
+	if fail.kind == failureSilent {
+		// The connection may have fallen silent, and others with it.
+		c.needsNewConn = true
+		f.cfg.Meter.Count("connections/distrusted", p.closeIdleSince(c.attemptStart))
+	}
 	if f.redial(c, p, fail, now) {
 		return nil, true
 	}
