--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -63,6 +63,8 @@
 		s.sendCrashingRequests(ctx, inj)
 	case planChange, keyRevoke:
 		s.changePlan(inj)
+	default:
+		s.reportError(fmt.Errorf("fault %q does not exist", inj.Kind))
 	}
 	s.updateHistory(func(h *history) {
 		h.Spans = append(h.Spans, faultSpan{Kind: inj.Kind, Target: target, From: start, To: time.Now()})
