Play connections in the soak that fall silent while new ones work

The soak's proxies silenced whole links, never single connections, and held what they did not pass on, so that the kernel acknowledged nothing for long.

A change that must be followed, mostly a server that drains, comes 4 to 5 s later, when the entries are in touch again.

--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -46,10 +46,10 @@
 	case entriesStop, entriesRoll:
 		s.stopEntries(ctx, inj)
 		return
-	case entryKill, entryStop, entryStopTwice, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse:
+	case entryKill, entryStop, entryStopTwice, entryPause, entryReload, callerDelay, callerReset, storeSilent, storeOneWay, storeRefuse, storeMute:
 		target = e.Name
 		s.injectEntryFault(ctx, inj, e)
-	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverLimit, serverLeave, serverRest, serverRepeat:
+	case serverCrash, serverHang, serverFail, serverLose, serverBusy, serverSurplus, serverDrain, serverSilent, serverOneWay, serverReset, serverMute, serverLimit, serverLeave, serverRest, serverRepeat:
 		target = srv.id()
 		s.injectServerFault(ctx, inj, srv)
 	case storeBusy, storeSlow, storeLost, storeForget, storeRestore:
@@ -111,6 +111,8 @@
 		s.disturbLink(ctx, e.store, link{stallForward: true, stallBack: true}, inj.Length)
 	case storeOneWay:
 		s.disturbLink(ctx, e.store, link{stallBack: true}, inj.Length)
+	case storeMute:
+		e.store.silence([]string{"", "", "/servers?"}[inj.Pick%3], inj.Pick%3 == 1)
 	case storeRefuse:
 		e.store.resetConns()
 		s.disturbLink(ctx, e.store, link{refuse: true}, inj.Length)
@@ -159,6 +161,8 @@
 		s.disturbLink(ctx, srv.link, link{stallBack: true}, inj.Length)
 	case serverReset:
 		srv.link.resetConns()
+	case serverMute:
+		srv.link.silence("", inj.Pick%2 == 0)
 	case serverLimit:
 		s.nameLimit(ctx, inj, srv)
 	case serverLeave:
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -50,6 +50,10 @@
 	oddEntry fault = "odd-entry"
 	// serverRepeat has a backend server refuse requests and repeat the refusals on kept connections.
 	serverRepeat fault = "server-repeats-refusals"
+	// storeMute and serverMute have open connections of an entry to the store, or of all entries to a backend server, fall
+	// silent for good, while new ones work.
+	storeMute  fault = "store-connections-silent"
+	serverMute fault = "server-connections-silent"
 	// streamsBreak has the backend servers with models break streams off and answer with errors when they are resumed.
 	streamsBreak fault = "streams-break"
 )
@@ -74,6 +78,9 @@
 	changeFaults = []fault{serverDrain, serverCrash, planChange, entryStop}
 )
 
+// muteChanges are the changes that must be followed although connections fell silent before.
+var muteChanges = []fault{serverDrain, serverDrain, planChange, keyRevoke, serverCrash}
+
 // Injection is one fault with its start in a run and its length.
 type Injection struct {
 	At, Length time.Duration
@@ -101,6 +108,10 @@
 	companionSpread = 1500 * time.Millisecond
 	// oddInterval is the mean time between two odd faults.
 	oddInterval = 1200 * time.Millisecond
+	// muteInterval is the mean time between two groups of connections that fall silent; settleTime and up to muteSpread
+	// later a change must be followed.
+	muteInterval = 6 * time.Second
+	muteSpread   = time.Second
 )
 
 // drawInjections draws the faults of a run from its seed: single faults and series of one kind, which may
@@ -173,3 +184,26 @@
 	slices.SortFunc(out, func(a, b Injection) int { return int(a.At - b.At) })
 	return out
 }
+
+// drawSilences draws connections of a run from its seed that fall silent, each with a change that must be followed once
+// their entries are in touch again.
+func drawSilences(seed uint64, length time.Duration) []Injection {
+	r := rand.New(rand.NewPCG(seed, 8))
+	end := length - quietTime
+	var out []Injection
+	for at := startupTime; at < end; at += time.Duration((0.5 + r.ExpFloat64()/2) * float64(muteInterval)) {
+		kind := storeMute
+		if r.IntN(3) == 0 {
+			kind = serverMute
+		}
+		pick := r.IntN(1 << 20)
+		for i := range 1 + r.IntN(3) {
+			out = append(out, Injection{At: at, Length: minFaultLength, Kind: kind, Pick: pick + i})
+		}
+		change := at + settleTime + time.Duration(r.Float64()*float64(muteSpread))
+		if change < end {
+			out = append(out, Injection{At: change, Length: minFaultLength, Kind: muteChanges[r.IntN(len(muteChanges))], Pick: r.IntN(1 << 20)})
+		}
+	}
+	return out
+}
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,8 +35,19 @@
 	link     link
 	changed  chan struct{}
 	conns    map[net.Conn]bool
+	pairs    map[*pair]bool
 }
 
+// pair is a connection and the one to the target.
+type pair struct {
+	silent atomic.Bool
+	// sent is the beginning of what was last sent to the target.
+	sent atomic.Pointer[string]
+}
+
+// sentBytes is the length of what is kept of that: a request line.
+const sentBytes = 80
+
 const (
 	// shallowBytes is the size of the socket buffers of shallow connections.
 	shallowBytes = 16 << 10
@@ -68,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, shallow: shallow, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, shallow: shallow, changed: make(chan struct{}), conns: map[net.Conn]bool{}, pairs: map[*pair]bool{}}
 	go p.accept(l)
 	return p, nil
 }
@@ -118,6 +131,21 @@
 	}
 }
 
+// silence makes open connections silent for good, those whose last request contains a text, or each second one: the proxy
+// reads on, so that what is sent is acknowledged, and passes nothing on.
+func (p *proxy) silence(text string, half bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for c := range p.pairs {
+		sent := c.sent.Load()
+		if n++; half && n%2 == 0 || text != "" && (sent == nil || !strings.Contains(*sent, text)) {
+			continue
+		}
+		c.silent.Store(true)
+	}
+}
+
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
 	if tc, ok := c.(*net.TCPConn); ok {
@@ -146,6 +174,16 @@
 	}
 }
 
+func (p *proxy) trackPair(c *pair, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.pairs[c] = true
+	} else {
+		delete(p.pairs, c)
+	}
+}
+
 // currentLink returns the state of the link and a channel that is closed when it changes.
 func (p *proxy) currentLink() (link, <-chan struct{}) {
 	p.mu.Lock()
@@ -169,10 +207,13 @@
 	}
 	p.track(in, true)
 	p.track(out, true)
+	both := &pair{}
+	p.trackPair(both, true)
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copyData(out, in, func(l link) bool { return l.stallForward }) })
-	wg.Go(func() { p.copyData(in, out, func(l link) bool { return l.stallBack }) })
+	wg.Go(func() { p.copyData(out, in, both, true, func(l link) bool { return l.stallForward }) })
+	wg.Go(func() { p.copyData(in, out, both, false, func(l link) bool { return l.stallBack }) })
 	wg.Wait()
+	p.trackPair(both, false)
 	p.track(in, false)
 	p.track(out, false)
 	_ = in.Close()
@@ -181,7 +222,7 @@
 
 // copyData copies data in one direction. It forwards the end of the data as a half-close and a read error as
 // a reset.
-func (p *proxy) copyData(to, from net.Conn, stalled func(link) bool) {
+func (p *proxy) copyData(to, from net.Conn, both *pair, forward bool, stalled func(link) bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
@@ -193,7 +234,11 @@
 			}
 			<-changed
 		}
-		if n > 0 {
+		if n > 0 && forward {
+			sent := string(buf[:min(n, sentBytes)])
+			both.sent.Store(&sent)
+		}
+		if n > 0 && !both.silent.Load() {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				resetConn(from)
 				return
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -36,6 +36,8 @@
 	// Odd adds what odd neighbours do: entries that another writer left in the list of backend servers, servers that repeat
 	// refusals, and servers that break streams off and answer with errors when these are resumed.
 	Odd bool
+	// Silent adds connections that fall silent while new ones work, and changes that must be followed all the same.
+	Silent bool
 	// Faults replaces the faults that are drawn from the seed.
 	Faults                    []Injection
 	Entries, Servers, Callers int
@@ -109,6 +111,9 @@
 		if cfg.Odd {
 			injections = append(injections, drawOddities(cfg.Seed, cfg.Length)...)
 		}
+		if cfg.Silent {
+			injections = append(injections, drawSilences(cfg.Seed, cfg.Length)...)
+		}
 		slices.SortStableFunc(injections, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	}
 	s.injectFaults(runCtx, injections)
--- a/internal/soaker/stops.go
+++ b/internal/soaker/stops.go
@@ -58,7 +58,7 @@
 }
 
 // breakingFaults are the faults of backend servers and of their links that may break a response off.
-var breakingFaults = []fault{serverCrash, serverLose, serverSilent, serverOneWay, serverReset}
+var breakingFaults = []fault{serverCrash, serverLose, serverSilent, serverOneWay, serverReset, serverMute}
 
 // brokeOff reports whether a backend server may have broken its response off: such a fault affected one that had received
 // the request, before the request ended.
