Do not pass the end of a silent connection on in the soak

The fault was the soak's: its proxy passed nothing on that came after the silence, but then the end of the target's connection, which a connection that went dead does not show, and which ends a body without a length.

A silent connection stays open for its other side now.

--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -244,6 +244,10 @@
 				return
 			}
 		}
+		if err != nil && both.silent.Load() {
+			// The other side does not learn of the end either.
+			return
+		}
 		if err == io.EOF {
 			if tc, ok := to.(*net.TCPConn); ok {
 				_ = tc.CloseWrite()
