Ping control connections less often than polls are held

A control connection that owes an answer was pinged 0.8 s after the last one, which is just as long as polls of the own deployment are held: each connection to a relay would have carried a ping beside each poll.

Pings go out after a second and are waited for 0.6 s. The rows of TestSilentChannelHidesChanges hold.

--- a/internal/messenger/heartbeat.go
+++ b/internal/messenger/heartbeat.go
@@ -11,10 +11,10 @@
 
 const (
 	// pingAfter is how long a connection between processes may be quiet before the peer is asked for an answer, a control
-	// connection only while it owes one. Calls that are answered more often than that cost no pings.
-	pingAfter = 800 * time.Millisecond
+	// connection only while it owes one. Polls are held for less than that and cost no pings.
+	pingAfter = time.Second
 	// pongTimeout is how long the peer may take to answer a ping: many round trips, and the pauses of a busy process.
-	pongTimeout = 700 * time.Millisecond
+	pongTimeout = 600 * time.Millisecond
 )
 
 // liveness tells whether the process at the other end of a connection has to prove that it serves it. An acknowledgement
