Read a newer plan that relays know on a new connection

An entry that relays tell of changes reads a newer plan itself. If its connections to the store had fallen silent, it read it on one idle connection after the other, and requests were handled by the plan before for up to 11.2 s (2.5 s are allowed): TestSilentPlanWatchBesideRelaysHidesPlan on, where bytes are acknowledged.

--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -314,6 +314,8 @@
 	if f.relayed.isBehind(behind, sinceBoot) {
 		f.cfg.Log.Info().Str("relay", string(p.relay)).Int64("revision", reply.Plan.Change()).
 			Uint32("era", uint32(reply.Plan.Era())).Msg("follower: a relay knows a newer plan, reading it")
+		// The own watch should have brought it, so its connection may be silent, and others with it.
+		f.cfg.Store.Renew()
 		f.cancelWatches(errReadNow)
 	}
 }
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -36,14 +36,19 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	start := time.Now()
-	return New(Config{
-		Store: platform.NewStore(platform.StoreConfig{Address: server.Listener.Addr().String()}),
+	return New(platformConfig(server.Listener.Addr().String(), func() time.Duration { return time.Since(start) }, log))
+}
+
+// platformConfig returns the configuration of a Follower of the platform's store at an address.
+func platformConfig(address string, clock func() time.Duration, log zerolog.Logger) Config {
+	return Config{
+		Store: platform.NewStore(platform.StoreConfig{Address: address}),
 		Kinds: Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: "marks"},
 		Decode: Decoder{
 			IsPlan: platform.IsManifestKey, Plan: platform.DecodePlan, Server: platform.Settings{}.DecodeServer, Order: platform.DecodeRollout,
 		},
-		MaxKeyAge: 5 * time.Second, Clock: func() time.Duration { return time.Since(start) }, Meter: meter.New(), Log: log,
-	})
+		MaxKeyAge: 5 * time.Second, Clock: clock, Meter: meter.New(), Log: log,
+	}
 }
 
 func runUntilEnd(t *testing.T, f *Follower) {
--- a/internal/follower/silent_test.go
+++ b/internal/follower/silent_test.go
@@ -14,12 +14,10 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/bramleyhinge/bramleyhinge/internal/meter"
 	"github.com/bramleyhinge/bramleyhinge/internal/relayer"
 	"github.com/bramleyhinge/bramleyhinge/internal/storer"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
-	"github.com/bramleyhinge/bramleyhinge/platform"
 	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
 
@@ -115,15 +113,9 @@
 			go func() { _ = server.Serve(l) }()
 			t.Cleanup(func() { server.Close() })
 			start, self := time.Now(), model.Instance{Instance: "e0", Place: model.Place{Region: "lake"}}
-			f := New(Config{
-				Store: platform.NewStore(platform.StoreConfig{Address: l.Addr().String()}),
-				Kinds: Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: "marks"},
-				Decode: Decoder{
-					IsPlan: platform.IsManifestKey, Plan: platform.DecodePlan, Server: platform.Settings{}.DecodeServer, Order: platform.DecodeRollout,
-				},
-				Relays:    &Relays{Timing: relayer.NewTiming(applyWithin), Self: self, Members: func() []model.Instance { return nil }},
-				MaxKeyAge: 5 * time.Second, Clock: func() time.Duration { return time.Since(start) }, Meter: meter.New(), Log: zerolog.New(zerolog.NewTestWriter(t)),
-			})
+			cfg := platformConfig(l.Addr().String(), func() time.Duration { return time.Since(start) }, zerolog.New(zerolog.NewTestWriter(t)))
+			cfg.Relays = &Relays{Timing: relayer.NewTiming(applyWithin), Self: self, Members: func() []model.Instance { return nil }}
+			f := New(cfg)
 			var mu sync.Mutex
 			shared := map[string]bool{}
 			f.OnSharedObject(func(o storer.Object) {
@@ -193,3 +185,76 @@
 		})
 	}
 }
+
+// TestSilentPlanWatchBesideRelaysHidesPlan guards against an entry that relays tell of a newer plan, and that reads it on
+// one idle connection to the store after the other, all of which fell silent.
+func TestSilentPlanWatchBesideRelaysHidesPlan(t *testing.T) {
+	for _, how := range []tester.Silence{tester.Acknowledged, tester.Dropped} {
+		t.Run(string(how), func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			publish := func(version int) {
+				if err := store.Publish(standin.Plan{Version: version, Keys: map[string]string{"key": "org"}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			publish(1)
+			var members []model.Instance
+			for _, id := range []model.InstanceID{"e0", "e1", "e2", "e3"} {
+				members = append(members, model.Instance{Instance: id, Control: string(id), Place: model.Place{Region: "lake"}})
+			}
+			start, listeners, followers := time.Now(), map[model.InstanceID]*tester.Listener{}, map[string]*Follower{}
+			clock := func() time.Duration { return time.Since(start) }
+			for _, self := range members {
+				l := tester.Listen(t)
+				server := &http.Server{Handler: store}
+				go func() { _ = server.Serve(l) }()
+				t.Cleanup(func() { server.Close() })
+				cfg := platformConfig(l.Addr().String(), clock, zerolog.Nop())
+				cfg.Relays = &Relays{
+					Timing: relayer.NewTiming(applyWithin), Self: self, Members: func() []model.Instance { return members },
+					Poll: func(ctx context.Context, address string, in relayer.PollRequest) (relayer.PollReply, error) {
+						return followers[address].Feed().Answer(ctx, in, clock), nil
+					},
+				}
+				listeners[self.Instance], followers[self.Control] = l, New(cfg)
+			}
+			for _, f := range followers {
+				runUntilEnd(t, f)
+			}
+			var told model.InstanceID
+			await(t, "an entry that relays tell of changes", 3*time.Second, func() bool {
+				for id, f := range followers {
+					f.relayed.mu.Lock()
+					active := f.relayed.active
+					f.relayed.mu.Unlock()
+					if active {
+						told = model.InstanceID(id)
+					}
+				}
+				return told != ""
+			})
+			time.Sleep(time.Second)
+			f := followers[string(told)]
+			// Calls side by side leave idle connections behind.
+			var calls sync.WaitGroup
+			for range 6 {
+				calls.Go(func() {
+					if _, err := f.cfg.Store.Watch(t.Context(), "marks", model.NewRevision(1, 1), 100*time.Millisecond); err != nil {
+						t.Error(err)
+					}
+				})
+			}
+			calls.Wait()
+			listeners[told].Silence(t, how)
+			changed := time.Now()
+			publish(2)
+			await(t, "the plan", 25*time.Second, func() bool { return f.Plan().Version == 2 })
+			took := time.Since(changed)
+			t.Logf("the plan was known after %v", took)
+			if took > applyWithin {
+				t.Errorf("the plan was known after %v, want %v at most", took, applyWithin)
+			}
+		})
+	}
+}
