--- a/internal/follower/coverage.go
+++ b/internal/follower/coverage.go
@@ -16,6 +16,8 @@
 	maxDeliveryTime = 700 * time.Millisecond
 	// maxKnownChanges bounds the changes that are remembered one by one; those forgotten are read again.
 	maxKnownChanges = 4096
+	// coverageInterval is the interval at which missing changes are looked for while there are any.
+	coverageInterval = 50 * time.Millisecond
 )
 
 // coverage tells which watches miss changes. The store has one counter of changes for all kinds, and each answer names
@@ -89,8 +91,8 @@
 	c.known = slices.Delete(c.known, 0, n)
 }
 
-// misses reports whether there may be a change of a kind up to a revision that is not known: one that is not the change
-// of an object of any kind.
+// misses reports whether there may be a change of a kind up to a revision that is not known: a number that no known object
+// of any kind has.
 func (c *coverage) misses(k *covered, upTo model.Revision) bool {
 	if k.upTo == 0 || k.upTo >= upTo {
 		return false
@@ -130,6 +132,3 @@
 	slices.Sort(kinds)
 	return kinds, next
 }
-
-// coverageInterval is the interval at which missing changes are looked for while there are any.
-const coverageInterval = 50 * time.Millisecond
--- a/internal/follower/missed.go
+++ b/internal/follower/missed.go
@@ -19,7 +19,7 @@
 	scheduled bool
 }
 
-// begin records a call for a kind, which end can cancel; nil if it waits for nothing.
+// begin records a watch of a kind, which end can cancel.
 func (c *coveredCalls) begin(kind string, end context.CancelCauseFunc, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
