--- a/internal/follower/silent_test.go
+++ b/internal/follower/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,12 +188,18 @@
 	}
 }
 
-// TestSilentPlanWatchBesideRelaysHidesPlan guards against an entry that relays tell of a newer plan, and that reads it on
-// one idle connection to the store after the other, all of which fell silent.
+// TestSilentPlanWatchBesideRelaysHidesPlan guards against an entry that relays tell of a newer plan, or that no longer
+// hears of them, and that reads it on one idle connection to the store after the other, all of which fell silent.
 func TestSilentPlanWatchBesideRelaysHidesPlan(t *testing.T) {
-	for _, how := range []tester.Silence{tester.Acknowledged, tester.Dropped} {
-		t.Run(string(how), func(t *testing.T) {
+	type silentCase struct {
+		Form tester.Silence
+		// Relays is set if the connections to the relays fall silent too.
+		Relays bool
+	}
+	for _, c := range tester.Load[silentCase](t, "silent_relays.yaml") {
+		t.Run(fmt.Sprintf("%s, relays %v", c.Form, c.Relays), func(t *testing.T) {
 			t.Parallel()
+			var cutOff atomic.Value
 			store := standin.NewStore()
 			publish := func(version int) {
 				if err := store.Publish(standin.Plan{Version: version, Keys: map[string]string{"key": "org"}}); err != nil {
@@ -214,6 +222,13 @@
 				cfg.Relays = &Relays{
 					Timing: relayer.NewTiming(applyWithin), Self: self, Members: func() []model.Instance { return members },
 					Poll: func(ctx context.Context, address string, in relayer.PollRequest) (relayer.PollReply, error) {
+						if cutOff.Load() == self.Instance {
+							select {
+							case <-ctx.Done():
+							case <-time.After(800 * time.Millisecond):
+							}
+							return relayer.PollReply{}, errSilent
+						}
 						return followers[address].Feed().Answer(ctx, in, clock), nil
 					},
 				}
@@ -246,7 +261,10 @@
 				})
 			}
 			calls.Wait()
-			listeners[told].Silence(t, how)
+			listeners[told].Silence(t, c.Form)
+			if c.Relays {
+				cutOff.Store(told)
+			}
 			changed := time.Now()
 			publish(2)
 			await(t, "the plan", 25*time.Second, func() bool { return f.Plan().Version == 2 })
