--- a/internal/follower/watch.go
+++ b/internal/follower/watch.go
@@ -35,8 +35,6 @@
 	firstBackoff   = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
 	maxPlanBackoff = 350 * time.Millisecond
-	// noWait lets a watch return at once with the changes so far, after an outage or a history loss.
-	noWait = time.Millisecond
 )
 
 // batch holds the changes of one answer of the store. If full is set, it holds all objects of the kind.
@@ -300,7 +298,7 @@
 		l, err = f.cfg.Store.List(ctx, s.kind)
 		return l, 0, err
 	case immediate:
-		l, err = f.cfg.Store.Watch(ctx, s.kind, from, noWait)
+		l, err = f.cfg.Store.Watch(ctx, s.kind, from, storer.NoWait)
 		return l, 0, err
 	}
 	return f.watch(ctx, s, from)
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -112,6 +112,7 @@
 	case storeOneWay:
 		s.disturbLink(ctx, e.store, link{stallBack: true}, inj.Length)
 	case storeMute:
+		// All, each second one, or that on which the servers are watched.
 		e.store.silence([]string{"", "", "/servers?"}[inj.Pick%3], inj.Pick%3 == 1)
 	case storeRefuse:
 		e.store.resetConns()
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -24,8 +24,6 @@
 	// fell silent. With the wait of a watch, a new connection and the repeated call it is well below the configuration
 	// lease.
 	answerLimit = 700 * time.Millisecond
-	// noWait has a watch return the changes so far at once.
-	noWait = time.Millisecond
 )
 
 // ClientConfig configures a Client.
@@ -99,7 +97,7 @@
 func (c *Client) Watch(ctx context.Context, prefix string, from model.Revision, wait time.Duration) (Listing, error) {
 	var l Listing
 	path := fmt.Sprintf("/watch?prefix=%s&from=%d", url.QueryEscape(prefix), from)
-	err := c.call(ctx, http.MethodGet, path, nil, &l, call{key: prefix, wait: max(wait, noWait)})
+	err := c.call(ctx, http.MethodGet, path, nil, &l, call{key: prefix, wait: max(wait, NoWait)})
 	return l, err
 }
 
@@ -152,7 +150,7 @@
 	}
 	if !opts.mutates {
 		r.Again = func(ctx context.Context) (reply, error) {
-			return c.exchange(ctx, method, path, body, min(opts.wait, noWait), func() {})
+			return c.exchange(ctx, method, path, body, min(opts.wait, NoWait), func() {})
 		}
 	}
 	a, err := r.Do(ctx)
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -13,6 +13,9 @@
 // MaxValueBytes is the size in bytes of the largest value that the platform stores.
 const MaxValueBytes = 1 << 20
 
+// NoWait is the wait of a watch that returns the changes so far at once.
+const NoWait = time.Millisecond
+
 // Object is one stored object or, in the answer of a watch, its deletion.
 type Object struct {
 	Key      string         `json:"key"`
