Keep control connections to a process that is suspended

The fault is of: an agent that answered no ping for 1.6 s lost its control connection, and counted as unreachable although it went on a moment later.

A suspended process answers on no connection. So a peer that misses a ping is asked on a new connection, and only if it answers there is the old one closed; otherwise it is pinged again, and calls end by their own limits as before. The rows of TestSilentChannelHidesChanges hold, since new connections work there.

--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.DialTimeout)
 	defer cancel()
 	l.conn, l.err = p.openConn(ctx, addr)
-	l.beat = &heartbeat{conn: l.conn, onSilence: func() { p.cfg.OnSilence(addr) }}
+	l.beat = &heartbeat{conn: l.conn, answersAnew: func() bool { return p.answersAnew(addr) }, onSilence: func() { p.cfg.OnSilence(addr) }}
 	close(l.dialled)
 	if l.err != nil {
 		p.mu.Lock()
@@ -148,6 +148,19 @@
 	}()
 }
 
+// answersAnew reports whether the process at an address answers on a new connection.
+func (p *Pool) answersAnew(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pongTimeout)
+	defer cancel()
+	c, err := p.openConn(ctx, addr)
+	if err != nil {
+		return false
+	}
+	// It is closed already if the peer closed it.
+	_ = c.Close()
+	return true
+}
+
 func (p *Pool) openConn(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
 	conn, err := dialer.New(p.cfg.DialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/messenger/heartbeat.go
+++ b/internal/messenger/heartbeat.go
@@ -50,9 +50,12 @@
 	return max(l.quiet.Add(pingAfter).Sub(now), 0), l.owed
 }
 
-// heartbeat pings the peer of a connection while it owes an answer, and closes the connection if none comes.
+// heartbeat pings the peer of a connection while it owes an answer, and closes the connection if none comes although the
+// peer answers on a new one. A process that is suspended answers on neither, and goes on with its calls later.
 type heartbeat struct {
 	conn *jsonrpc2.Conn
+	// answersAnew reports whether the peer answers on a new connection.
+	answersAnew func() bool
 	// onSilence is called before the connection is closed.
 	onSilence func()
 
@@ -99,7 +102,10 @@
 			case <-h.conn.DisconnectNotify():
 				return
 			}
-		case !h.ping(time.Now()):
+		case h.ping(time.Now()):
+		case !h.answersAnew():
+			h.postpone(time.Now())
+		default:
 			h.onSilence()
 			// It is closed already if the connection ended meanwhile.
 			_ = h.conn.Close()
@@ -108,6 +114,13 @@
 	}
 }
 
+// postpone has the peer pinged again later.
+func (h *heartbeat) postpone(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.live.quiet = now
+}
+
 // ping asks the peer for an answer and reports whether one came, to this or to another call.
 func (h *heartbeat) ping(sent time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pongTimeout)
--- a/internal/messenger/heartbeat_test.go
+++ b/internal/messenger/heartbeat_test.go
@@ -73,3 +73,56 @@
 		t.Errorf("the slow call ended with %+v, error %v", out, err)
 	}
 }
+
+// TestSuspendedPeerIsTakenForSilence guards against connections to a process that is suspended for a while, and goes on with
+// its calls then, being closed: it answers on no other connection either.
+func TestSuspendedPeerIsTakenForSilence(t *testing.T) {
+	l := tester.Listen(t)
+	s := NewServer(ServerConfig{Instance: "n1", Connections: 8})
+	suspended := make(chan struct{})
+	Handle(s, MethodLookup, func(context.Context, Peer, LookupRequest) (model.Outcome, error) {
+		<-suspended
+		return model.Outcome{Granted: true}, nil
+	})
+	go s.Serve(t.Context(), &pausedListener{Listener: l, until: suspended})
+	t.Cleanup(s.Close)
+	p := NewPool(ClientConfig{Instance: "n2", OnSilence: func(addr string) { t.Errorf("the peer at %s counts as silent", addr) }})
+	defer p.Close()
+	time.AfterFunc(3*(pingAfter+pongTimeout), func() { close(suspended) })
+	out, err := Call[model.Outcome](t.Context(), p, l.Addr().String(), MethodLookup, LookupRequest{})
+	if err != nil || !out.Granted {
+		t.Errorf("the call ended with %+v, error %v", out, err)
+	}
+}
+
+// pausedListener accepts a connection, which reads nothing after a call until a channel closes, and no other until then.
+type pausedListener struct {
+	net.Listener
+	until    chan struct{}
+	accepted bool
+}
+
+// Accept implements net.Listener.
+func (l *pausedListener) Accept() (net.Conn, error) {
+	if l.accepted {
+		<-l.until
+	}
+	l.accepted = true
+	c, err := l.Listener.Accept()
+	return &pausedConn{Conn: c, until: l.until}, err
+}
+
+type pausedConn struct {
+	net.Conn
+	until chan struct{}
+	read  int
+}
+
+// Read implements net.Conn. The first messages are those that authenticate the connection, and the call.
+func (c *pausedConn) Read(b []byte) (int, error) {
+	if c.read >= 3 {
+		<-c.until
+	}
+	c.read++
+	return c.Conn.Read(b)
+}
