Follow evacuations, limit cold backend servers and keep to allowed regions

Change: the follower watches evacuations where the settings bound them, and keeps them across a restore of the store. limiter.ColdServers keeps what all entries send to a cold server within the bound on any second, with shares that follow from the list of entries, as for limits that servers name. One function decides which servers are eligible; all attempts ask it, and the newest plan's regions bind each of them. A request that no server may run is refused at once.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -90,9 +90,10 @@
 	platformState := follower.New(follower.Config{
 		Relays: relays.config(),
 		Store:  store,
-		Kinds:  follower.Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: sharedObjectKind},
+		Kinds:  directKinds(s),
 		Decode: follower.Decoder{
 			IsPlan: platform.IsManifestKey, Plan: platform.DecodePlan, Server: ps.DecodeServer, Order: platform.DecodeRollout,
+			Evacuation: platform.DecodeEvacuation,
 		},
 		MaxKeyAge: s.MaxKeyAge, Clock: follower.BootClock, Meter: m, Log: log,
 	})
@@ -106,6 +107,9 @@
 	limits := limiter.NewServerLimits(limiter.ServerLimitsConfig{
 		Self: model.Instance{Instance: s.Instance, Place: s.Place}, Members: func() []model.Instance { return gossip.Members() }, Meter: m, Log: log,
 	})
+	cold := limiter.NewColdServers(limiter.ColdServersConfig{
+		Self: model.Instance{Instance: s.Instance, Place: s.Place}, Members: func() []model.Instance { return gossip.Members() }, Meter: m, Log: log,
+	}, s.Cold)
 	leaving := limiter.NewLeavingServers(limiter.LeavingServersConfig{Meter: m, Log: log})
 	var f *forwarder.Forwarder
 	gossip = gossiper.New(gossiper.Config{
@@ -128,7 +132,7 @@
 		Versions:   rollouts,
 		Quarantine: quarantine,
 		Announcements: limiter.Announcements{
-			Limits: limits, Leaving: leaving,
+			Limits: limits, Leaving: leaving, Cold: cold,
 			Resting: limiter.NewRestingServers(limiter.RestingServersConfig{Self: s.Instance, Meter: m, Log: log}),
 		},
 		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
@@ -150,7 +154,11 @@
 		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: cannot open the relay listener; other entries cannot follow this one")
 	}
 	wg.Go(func() {
-		d.watchSettings(runCtx, log, hup, text, func(s model.DirectSettings) { platformState.SetMaxKeyAge(s.MaxKeyAge); f.SetRetryBudget(s.RetryBudget) })
+		d.watchSettings(runCtx, log, hup, text, func(s model.DirectSettings) {
+			platformState.SetMaxKeyAge(s.MaxKeyAge)
+			f.SetRetryBudget(s.RetryBudget)
+			cold.SetBound(s.Cold)
+		})
 	})
 	err = f.Run(ctx, listeners)
 	cancel()
@@ -159,6 +167,15 @@
 	return err
 }
 
+// directKinds returns the kinds of objects that an entry with the settings watches.
+func directKinds(s model.DirectSettings) follower.Kinds {
+	k := follower.Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: sharedObjectKind}
+	if s.EvacuateWithin > 0 {
+		k.Evacuations = platform.KindEvacuations
+	}
+	return k
+}
+
 // reloadInterval is the interval between two reads of the settings file, which may change without a signal.
 const reloadInterval = 2 * time.Second
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -19,6 +19,8 @@
 // Kinds holds the store's names for the kinds of object that are watched.
 type Kinds struct {
 	Plan, Servers, Orders, Shared string
+	// Evacuations is empty if evacuations are not followed.
+	Evacuations string
 }
 
 // Decoder decodes the store's objects. IsPlan reports whether a key holds the plan. Order sets the order's service also
@@ -28,6 +30,9 @@
 	Plan   func(value []byte) (*model.Plan, error)
 	Server func(storer.Object) (model.BackendServer, error)
 	Order  func(storer.Object) (model.RolloutOrder, error)
+	// Evacuation returns the failure domain that an object evacuates, also if it returns an error since its content
+	// cannot be read.
+	Evacuation func(storer.Object) (model.DomainID, error)
 }
 
 // Config configures a Follower.
@@ -63,6 +68,7 @@
 	everConfirmed  bool
 	servers        *serverTable
 	orders         *orderTable
+	evacuations    *evacuationTable
 	sharedObjects  map[string]storer.Object
 	listed         map[string]bool
 	// ready is closed once the plan and all lists have been read.
@@ -93,6 +99,7 @@
 		cfg:           cfg,
 		servers:       newServerTable(),
 		orders:        newOrderTable(),
+		evacuations:   newEvacuationTable(),
 		sharedObjects: map[string]storer.Object{},
 		listed:        map[string]bool{},
 		ready:         make(chan struct{}),
@@ -127,12 +134,16 @@
 
 // subscriptions returns how each kind is watched. The kind of the plan is first.
 func (f *Follower) subscriptions() []subscription {
-	return []subscription{
+	all := []subscription{
 		{kind: f.cfg.Kinds.Plan, wait: f.planWait, gap: planGap, backoff: maxPlanBackoff, apply: f.applyPlan, confirm: f.confirmAsOf},
 		{kind: f.cfg.Kinds.Servers, wait: otherWait, gap: serversGap, backoff: maxBackoff, apply: f.applyServers},
 		{kind: f.cfg.Kinds.Orders, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applyOrders},
 		{kind: f.cfg.Kinds.Shared, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applySharedObjects},
 	}
+	if f.cfg.Kinds.Evacuations != "" {
+		all = append(all, subscription{kind: f.cfg.Kinds.Evacuations, wait: otherWait, gap: otherGap, backoff: maxBackoff, apply: f.applyEvacuations})
+	}
+	return all
 }
 
 func (f *Follower) setListed(kind string) {
@@ -192,7 +203,8 @@
 // closeReadyIfComplete closes ready if the plan and all lists have been read; the caller holds the lock.
 func (f *Follower) closeReadyIfComplete() {
 	k := f.cfg.Kinds
-	if f.plan == nil || f.floor.asking || !f.listed[k.Servers] || !f.listed[k.Orders] || !f.listed[k.Shared] {
+	if f.plan == nil || f.floor.asking || !f.listed[k.Servers] || !f.listed[k.Orders] || !f.listed[k.Shared] ||
+		k.Evacuations != "" && !f.listed[k.Evacuations] {
 		return
 	}
 	select {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	// store confirmed them.
 	KeysFresh(now time.Duration) (bool, time.Duration)
 	Servers(s model.ServiceID, now time.Time) []model.BackendServer
+	// Evacuations returns the failure domains that operators have emptied; nil if there were none.
+	Evacuations() *model.Evacuations
 }
 
 // Config configures a Forwarder.
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -36,6 +36,8 @@
 	ready chan struct{}
 	// planFirst is set if the plan is known before that.
 	planFirst bool
+	// evacuations are nil if there were none.
+	evacuations *model.Evacuations
 }
 
 func (s *fakeState) Ready() <-chan struct{} {
@@ -59,6 +61,7 @@
 	}
 }
 
+func (s *fakeState) Evacuations() *model.Evacuations                          { return s.evacuations }
 func (s *fakeState) KeysFresh(time.Duration) (bool, time.Duration)            { return !s.stale, 0 }
 func (s *fakeState) Servers(model.ServiceID, time.Time) []model.BackendServer { return s.servers }
 
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
+	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -15,29 +16,41 @@
 func (f *Forwarder) pickBackend(c *call, now time.Time) (*peer, bool) {
 	candidates := f.candidates(c, now)
 	for {
-		p, ok := f.pickCandidate(c, candidates, now)
+		s, ok := f.pickCandidate(c, candidates, now)
+		if !ok {
+			return nil, false
+		}
 		// Another request, or an answer, may have barred the server after the choice.
-		if !ok || f.cfg.Announcements.Take(p.server, now) {
-			return p, ok
+		if f.cfg.Announcements.Take(s, now) {
+			return f.peers.get(s, now), true
 		}
 	}
 }
 
-func (f *Forwarder) pickCandidate(c *call, candidates []model.BackendServer, now time.Time) (*peer, bool) {
+func (f *Forwarder) pickCandidate(c *call, candidates []model.BackendServer, now time.Time) (model.BackendServer, bool) {
 	if c.service.Engine != nil {
 		return f.pickEngine(c, candidates, now)
 	}
 	return f.pickPlain(c, candidates, now)
 }
 
-// refuseBarred returns the refusal of a request whose backend servers all rest or have used up the limits that they
-// named, or nil if there is another reason why none was chosen.
+// refuseBarred returns the refusal of a request whose backend servers all rest, or have used up the limits that they
+// named or what cold ones tolerate, or which none of them may run, or nil if there is another reason why none was chosen.
 func (f *Forwarder) refuseBarred(c *call, now time.Time) *model.Refusal {
-	wait, resting := f.earliest(f.candidates(c, now), now)
+	candidates := f.candidates(c, now)
+	if refusal := f.refuseIneligible(c, len(candidates)); refusal != nil {
+		return refusal
+	}
+	wait, bar := f.earliest(candidates, now)
 	if wait == 0 {
 		return nil
 	}
-	if resting {
+	if bar.Cold {
+		f.cfg.Meter.Count("cold/refused", 1)
+		return model.Refuse(model.KindOverload, "all backend servers that may run the request are cold and get as many requests as they tolerate: try again later").
+			WithRetry(restRetryAfter(wait, rand.Float64()))
+	}
+	if bar.Resting {
 		f.cfg.Meter.Count("rests/refused", 1)
 		return model.Refuse(model.KindOverload, "all backend servers that may run the request asked for rest or used up their limits: try again later").
 			WithRetry(restRetryAfter(wait, rand.Float64()))
@@ -57,18 +70,18 @@
 }
 
 // earliest returns the time until the first of some backend servers may get a request, 0 if one may now or there is
-// none, and whether that one rests.
-func (f *Forwarder) earliest(servers []model.BackendServer, now time.Time) (wait time.Duration, resting bool) {
+// none, and what bars that one.
+func (f *Forwarder) earliest(servers []model.BackendServer, now time.Time) (wait time.Duration, bar limiter.Permission) {
 	for i, s := range servers {
 		p := f.cfg.Announcements.Check(s, now)
 		if p.Wait <= 0 {
-			return 0, false
+			return 0, limiter.Permission{}
 		}
 		if i == 0 || p.Wait < wait {
-			wait, resting = p.Wait, p.Resting
+			wait, bar = p.Wait, p
 		}
 	}
-	return wait, resting
+	return wait, bar
 }
 
 // retryAfterTurnedAway returns when a caller may return whose request a backend server turned away. The rest that the
@@ -86,21 +99,7 @@
 	return slices.DeleteFunc(f.eligible(c, now), func(s model.BackendServer) bool { return c.tried[s.Backend] })
 }
 
-// eligible returns the backend servers that may run the request.
-func (f *Forwarder) eligible(c *call, now time.Time) []model.BackendServer {
-	servers := f.cfg.PlatformState.Servers(c.service.Service, now)
-	versions := f.cfg.Versions.Choose(VersionRequest{Service: c.service.Service, Session: c.session, Request: c.id, Servers: servers}, now)
-	c.versions = versions
-	out := make([]model.BackendServer, 0, len(servers))
-	for _, s := range servers {
-		if versions.Allows(s.Version) && s.State == model.BackendReady && !f.cfg.Announcements.Check(s, now).Leaving {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
+func (f *Forwarder) pickPlain(c *call, servers []model.BackendServer, now time.Time) (model.BackendServer, bool) {
 	in := picker.DirectInput{Self: f.cfg.Settings.Place, Draw: rand.Float64(), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	for _, s := range servers {
 		if !f.cfg.Announcements.Check(s, now).Allowed() {
@@ -116,12 +115,12 @@
 	}
 	choice := decidePlain(c, in)
 	if !choice.Found {
-		return nil, false
+		return model.BackendServer{}, false
 	}
 	c.prefillTime, c.inFlight, c.expected = 0, choice.Busy, c.route.LatencyTarget
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Float64("load", choice.Load).Int("open", choice.Eligible).Int("sent", c.sent).Msg("forwarder: placed")
-	return f.peers.get(choice.Server, now), true
+	return choice.Server, true
 }
 
 // decidePlain picks one of the backend servers of a plain service.
@@ -157,10 +156,10 @@
 	return picker.EarliestFirstToken{}.Decide(in), in
 }
 
-func (f *Forwarder) pickEngine(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
+func (f *Forwarder) pickEngine(c *call, servers []model.BackendServer, now time.Time) (model.BackendServer, bool) {
 	choice, in := f.chooseEngine(c, c.model, servers, now)
 	if !choice.Found {
-		return nil, false
+		return model.BackendServer{}, false
 	}
 	c.prefillTime, c.uncachedTokens = in.PrefillTime, c.prompt.tokens
 	if choice.PrefixCached {
@@ -173,7 +172,7 @@
 		Str("model", string(c.model)).Str("session", c.session).Dur("wait", choice.Wait).Dur("read", c.prefillTime).Bool("kept", choice.PrefixCached).
 		Int("busy", choice.Busy).Float64("fill", choice.Utilisation).Int("tokens", c.prompt.tokens).Int("open", choice.Eligible).Int("sent", c.sent).
 		Msg("forwarder: placed")
-	return f.peers.get(choice.Server, now), true
+	return choice.Server, true
 }
 
 // remoteWork returns the open work of other entries at a backend server.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -40,10 +40,12 @@
 	method   string
 	uri      string
 	host     string
-	header   http.Header
-	body     []byte
-	prompt   prompt
-	model    model.ModelID
+	// hostName and path are what routes are found by.
+	hostName, path string
+	header         http.Header
+	body           []byte
+	prompt         prompt
+	model          model.ModelID
 	// session is the id that related requests share.
 	session     string
 	fingerprint uint64
@@ -76,6 +78,8 @@
 	// sent counts the attempts that were sent, failedDials the backend servers that could not be reached.
 	sent, failedDials int
 	tried             map[model.BackendID]bool
+	// ineligible counts the backend servers that the last choice left out because of where they are.
+	ineligible ineligible
 	// mayHaveRun is set once the request may have run.
 	mayHaveRun bool
 	// lastEvent is the id of the last event that the caller has, from this answer or by its own statement.
@@ -109,7 +113,8 @@
 		// Without the roll-outs and bans of the lists, versions that are not due and banned requests would pass.
 		return c, release, model.Refuse(model.KindStaleConfiguration, "no plan is known yet, or a list was not read yet: try again").WithRetry(time.Second)
 	}
-	route, ok := c.plan.FindRoute(stripPort(r.Host), r.URL.Path)
+	c.hostName, c.path = stripPort(r.Host), r.URL.Path
+	route, ok := c.plan.FindRoute(c.hostName, c.path)
 	if !ok {
 		return c, release, f.refuseUnlessStale(model.Refuse(model.KindUnknownService, "no route of host %q begins path %q", r.Host, r.URL.Path))
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -199,8 +199,9 @@
 	if p == nil {
 		return f.pickBackend(c, now)
 	}
-	isSame := func(s model.BackendServer) bool { return peerKeyOf(s) == peerKeyOf(p.server) }
-	if slices.ContainsFunc(f.candidates(c, now), isSame) && f.cfg.Announcements.Take(p.server, now) {
+	candidates := f.candidates(c, now)
+	same := slices.IndexFunc(candidates, func(s model.BackendServer) bool { return peerKeyOf(s) == peerKeyOf(p.server) })
+	if same >= 0 && f.cfg.Announcements.Take(candidates[same], now) {
 		c.sent--
 		return p, true
 	}
--- a/internal/forwarder/suspects.go
+++ b/internal/forwarder/suspects.go
@@ -123,7 +123,7 @@
 // confirmCrash dials a backend server whose answer broke off and records a crash only if the server refuses the
 // connection: a lost answer or a reset connection alone is no crash.
 func (f *Forwarder) confirmCrash(p *peer) {
-	if !p.hasSuspects(time.Now()) {
+	if !p.hasSuspects(time.Now()) || f.isEvacuated(p.server, time.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
@@ -144,6 +144,9 @@
 	if !errors.Is(dialError, syscall.ECONNREFUSED) {
 		return
 	}
+	if f.cfg.Announcements.Cold != nil {
+		f.cfg.Announcements.Cold.Suspect(p.server.Lifetime(), f.coldStart(p.server), now)
+	}
 	var traits []model.Trait
 	// The request that was sent last is the likeliest: the server had borne the others for a while.
 	for _, a := range slices.Backward(p.takeSuspects(now)) {
--- a/internal/limiter/announcements.go
+++ b/internal/limiter/announcements.go
@@ -24,8 +24,9 @@
 type Permission struct {
 	// Leaving means that it gets none until its next start.
 	Leaving bool
-	// Limited means that it names a limit of requests a second, Resting that it rests.
-	Limited, Resting bool
+	// Limited means that it takes only a limited number of requests a second, since it names a limit or is cold, Cold
+	// the latter, Resting that it rests.
+	Limited, Cold, Resting bool
 	// Wait is the time until it may get one, unless it leaves: it rests, or its limit is used up.
 	Wait time.Duration
 }
@@ -40,6 +41,8 @@
 	Limits  *ServerLimits
 	Leaving *LeavingServers
 	Resting *RestingServers
+	// Cold is nil where cold servers are not limited.
+	Cold *ColdServers
 }
 
 // Observe records the announcement in an answer of a backend server.
@@ -59,6 +62,11 @@
 func (a Announcements) Check(s model.BackendServer, now time.Time) Permission {
 	p := Permission{Leaving: a.Leaving.IsLeaving(s.Lifetime())}
 	p.Limited, p.Wait = a.Limits.Check(s, now)
+	if a.Cold != nil {
+		var wait time.Duration
+		p.Cold, wait = a.Cold.Check(s, now)
+		p.Limited, p.Wait = p.Limited || p.Cold, max(p.Wait, wait)
+	}
 	rest := a.Resting.Wait(s.Lifetime(), now)
 	p.Resting, p.Wait = rest > 0, max(p.Wait, rest)
 	return p
@@ -66,5 +74,6 @@
 
 // Take counts a request to a backend server and returns true, or returns false if the server may not get it now.
 func (a Announcements) Take(s model.BackendServer, now time.Time) bool {
-	return !a.Leaving.IsLeaving(s.Lifetime()) && a.Resting.Take(s.Lifetime(), now) && a.Limits.Take(s, now)
+	return !a.Leaving.IsLeaving(s.Lifetime()) && a.Resting.Take(s.Lifetime(), now) && a.Limits.Take(s, now) &&
+		(a.Cold == nil || a.Cold.Take(s, now))
 }
--- a/internal/limiter/server_limits.go
+++ b/internal/limiter/server_limits.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 	"sync"
@@ -21,8 +20,6 @@
 	burstBase, burstRatio = 3, 2
 	// repeatInterval is how often an entry that gets answers repeats their limit to the other entries.
 	repeatInterval = time.Second
-	// shareInterval is how often an entry's share follows changes of the list of entries.
-	shareInterval = time.Second
 	// limitTTL is how long a limit is kept without any news of it, and liftedTTL how long it is remembered that
 	// one was lifted. Entries forget at different times, up to twice limitTTL, so that they do not all try again
 	// at once.
@@ -60,15 +57,7 @@
 	// heardAt is when the newest answer that is known arrived at any entry, toldAt when this entry last told the
 	// others.
 	heardAt, toldAt time.Time
-	// sharedAt is when this entry's share was computed, zero after a change of the limit.
-	sharedAt time.Time
-	bucket   shareBucket
-}
-
-// shareBucket is a token bucket that starts empty: a burst of new buckets would exceed the limit.
-type shareBucket struct {
-	rate, burst, level float64
-	refilledAt         time.Time
+	bucket          shareBucket
 }
 
 // NewServerLimits returns ServerLimits without limits.
@@ -113,7 +102,7 @@
 	if state.lifted {
 		state.bucket = shareBucket{refilledAt: now}
 	}
-	state.rate, state.lifted, state.sharedAt = rate, lifted, time.Time{}
+	state.rate, state.lifted, state.bucket.sharedAt = rate, lifted, time.Time{}
 	l.cfg.Meter.Count("limits/changed", 1)
 	l.cfg.Log.Info().Str("backend", string(s.Backend)).Float64("limit", float64(rate)).Bool("lifted", lifted).Dur("age", now.Sub(heardAt)).
 		Msg("limiter: limit of a backend server changed")
@@ -186,66 +175,11 @@
 	if state.lifted {
 		return nil
 	}
-	b := &state.bucket
-	if now.Sub(state.sharedAt) >= shareInterval {
-		b.rate, b.burst = shareOfServer(float64(state.rate), s, l.cfg.Self, l.cfg.Members())
-		state.sharedAt = now
-	}
-	b.level = min(b.burst, b.level+b.rate*max(0, now.Sub(b.refilledAt).Seconds()))
-	b.refilledAt = now
+	limit := float64(state.rate)
+	state.bucket.refill(fleetLimit{rate: limit, bursts: burstBase + burstRatio*limit}, s, l.cfg.Self, l.cfg.Members, now)
 	return state
 }
 
-// noShareWait is the wait that an entry without a share of a limit states. Other entries may have a share.
-const noShareWait = time.Second
-
-// wait returns how long it takes until the bucket holds a request.
-func (b shareBucket) wait() time.Duration {
-	switch {
-	case b.level >= 1:
-		return 0
-	case b.rate <= 0:
-		return noShareWait
-	}
-	return time.Duration((1 - b.level) / b.rate * float64(time.Second))
-}
-
-// shareOfServer returns the rate and the burst that an entry may send to a backend server which takes limit requests
-// a second from all entries. Only as many entries get a share as bursts of one request each allow; those near the
-// server come first.
-func shareOfServer(limit float64, s model.BackendServer, self model.Instance, others []model.Instance) (rate, burst float64) {
-	allBursts := burstBase + burstRatio*limit
-	sharers := min(len(others)+1, int(allBursts))
-	rank := 0
-	for _, other := range others {
-		if other.Instance != self.Instance && compareSharers(s, other, self) < 0 {
-			rank++
-		}
-	}
-	if rank >= sharers {
-		return 0, 0
-	}
-	return limit / float64(sharers), allBursts / float64(sharers)
-}
-
-// compareSharers orders entries by their distance from a backend server and then by a hash.
-func compareSharers(s model.BackendServer, a, b model.Instance) int {
-	hash := func(e model.Instance) uint64 {
-		return xxhash.Sum64String(string(s.Backend) + "\x00" + string(e.Instance))
-	}
-	return cmp.Or(cmp.Compare(distance(s.Place, a.Place), distance(s.Place, b.Place)), cmp.Compare(hash(a), hash(b)))
-}
-
-func distance(a, b model.Place) int {
-	switch {
-	case a.Region != b.Region:
-		return 2
-	case a.Domain != b.Domain:
-		return 1
-	}
-	return 0
-}
-
 // limitMessage tells other entries of a limit.
 type limitMessage struct {
 	Server model.ServerLifetime `json:"server"`
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -30,9 +31,11 @@
 	Routes   []PlanRoute
 	Services map[ServiceID]PlanService
 	// Open is true if requests need no API keys. That there are no Keys means that nobody has one.
-	Open   bool
-	Keys   map[KeyHash]PlanKeyHolder
-	Limits PlanLimits
+	Open bool
+	Keys map[KeyHash]PlanKeyHolder
+	// Regions holds the allowed regions of the organisations that may not be served everywhere.
+	Regions map[OrganisationID]Regions
+	Limits  PlanLimits
 }
 
 // PlanRoute sends the requests of a host under a path prefix to services.
@@ -56,8 +59,16 @@
 	Public bool
 	// Models lists the models that may answer, the smallest first; if it is empty, the caller names the model.
 	Models []ModelID
+	// Regions are the regions in which the route's requests may run.
+	Regions Regions
 }
 
+// Regions lists the regions in which requests may run; an empty list allows all.
+type Regions []RegionID
+
+// Allow reports whether requests may run in a region.
+func (r Regions) Allow(region RegionID) bool { return len(r) == 0 || slices.Contains(r, region) }
+
 // PlanShare is the weight of one service in the traffic split of a route.
 type PlanShare struct {
 	Service ServiceID
@@ -69,6 +80,11 @@
 	Service ServiceID
 	// Connections is the number of connections that one backend server accepts from all entries together.
 	Connections int
+	// ColdRate is the number of requests a second that a cold backend server tolerates from all entries; 0 means that
+	// cold ones are not limited.
+	ColdRate Rate
+	// ColdStart is how long a backend server is cold after its start.
+	ColdStart time.Duration
 	// Engine is nil for services that run no models.
 	Engine *PlanEngine
 }
@@ -132,6 +148,9 @@
 	State   BackendState
 	// ColdRemaining is how much longer the backend server is slow because it started recently; 0 means that it is warm.
 	ColdRemaining time.Duration
+	// ColdRate is the number of requests a second that the backend server tolerates from all entries because it is, or
+	// may be, cold; 0 means that it is not limited so.
+	ColdRate Rate
 	// StartUnixMilli is the Unix time of its start in milliseconds, 0 if unknown. A backend server may start again
 	// under the same id.
 	StartUnixMilli int64
@@ -185,6 +204,10 @@
 	// ApplyWithin is how long a change may take until it is in force; 0 selects the built-in default.
 	ApplyWithin time.Duration
 	RetryBudget RetryBudgetSettings
+	// EvacuateWithin is how long requests may still be sent to a failure domain after its evacuation was ordered; 0
+	// means that evacuations are not followed.
+	EvacuateWithin time.Duration
+	Cold           ColdSettings
 	// Exposure is the largest share of a service's requests, over the duration of a roll-out, that a bad
 	// version may get; 0 selects the built-in default.
 	Exposure float64
@@ -196,3 +219,48 @@
 	Ratio  float64
 	Window time.Duration
 }
+
+// ColdSettings bounds the requests that cold backend servers get.
+type ColdSettings struct {
+	// Over and Slack bound what a cold backend server gets in any second to Over times its ColdRate plus Slack requests.
+	Over, Slack float64
+	// ReportWithin is how long it takes until a backend server that turned cold has said so.
+	ReportWithin time.Duration
+}
+
+// Evacuations are the failure domains that operators have emptied.
+type Evacuations struct {
+	// InForce holds the evacuations by domain.
+	InForce map[DomainID]Evacuation
+	// Withdrawn holds when the evacuation of a domain was taken back.
+	Withdrawn map[DomainID]time.Time
+}
+
+// Evacuation is the order to send no requests to the backend servers of a failure domain.
+type Evacuation struct {
+	// Since is when this entry learned of it, Revision that of its object.
+	Since    time.Time
+	Revision Revision
+	// Until is when it ends by itself; zero unless the store came back from a copy that lacks it.
+	Until time.Time
+}
+
+// Evacuated reports whether a failure domain must get no requests.
+func (e *Evacuations) Evacuated(d DomainID, now time.Time) bool {
+	if e == nil {
+		return false
+	}
+	o, ok := e.InForce[d]
+	return ok && (o.Until.IsZero() || now.Before(o.Until))
+}
+
+// WithdrawnAt returns when the evacuation of a failure domain ended, or the zero time if it was never evacuated.
+func (e *Evacuations) WithdrawnAt(d DomainID, now time.Time) time.Time {
+	if e == nil {
+		return time.Time{}
+	}
+	if o, ok := e.InForce[d]; ok && !o.Until.IsZero() && !now.Before(o.Until) {
+		return o.Until
+	}
+	return e.Withdrawn[d]
+}
