--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -170,7 +170,7 @@
 // directKinds returns the kinds of objects that an entry with the settings watches.
 func directKinds(s model.DirectSettings) follower.Kinds {
 	k := follower.Kinds{Plan: platform.KindConfig, Servers: platform.KindServers, Orders: platform.KindRollouts, Shared: sharedObjectKind}
-	if s.EvacuateWithin > 0 {
+	if s.Evacuations {
 		k.Evacuations = platform.KindEvacuations
 	}
 	return k
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,8 @@
 	ready chan struct{}
 	// planFirst is set if the plan is known before that.
 	planFirst bool
-	// evacuations are nil if there were none.
-	evacuations *model.Evacuations
+	// evacuations holds nil if there were none.
+	evacuations atomic.Pointer[model.Evacuations]
 }
 
 func (s *fakeState) Ready() <-chan struct{} {
@@ -61,7 +62,7 @@
 	}
 }
 
-func (s *fakeState) Evacuations() *model.Evacuations                          { return s.evacuations }
+func (s *fakeState) Evacuations() *model.Evacuations                          { return s.evacuations.Load() }
 func (s *fakeState) KeysFresh(time.Duration) (bool, time.Duration)            { return !s.stale, 0 }
 func (s *fakeState) Servers(model.ServiceID, time.Time) []model.BackendServer { return s.servers }
 
@@ -377,9 +378,9 @@
 	return startEntryVersions(t, state, q, allVersions{})
 }
 
-func startEntryVersions(t *testing.T, state PlatformState, q Quarantine, v Versions) *entry {
-	t.Helper()
-	f := New(Config{
+// newForwarder returns a forwarder that does not run.
+func newForwarder(state PlatformState, q Quarantine, v Versions) *Forwarder {
+	return New(Config{
 		Settings: model.DirectSettings{
 			Memory: 64 << 20, Grace: 2 * time.Second, RetryBudget: model.RetryBudgetSettings{Ratio: 10, Window: 10 * time.Second},
 		},
@@ -394,6 +395,11 @@
 		},
 		Clock: func() time.Duration { return 0 }, Meter: meter.New(), Log: zerolog.Nop(),
 	})
+}
+
+func startEntryVersions(t *testing.T, state PlatformState, q Quarantine, v Versions) *entry {
+	t.Helper()
+	f := newForwarder(state, q, v)
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/pkg/model/plan.go
+++ b/pkg/model/plan.go
@@ -204,10 +204,9 @@
 	// ApplyWithin is how long a change may take until it is in force; 0 selects the built-in default.
 	ApplyWithin time.Duration
 	RetryBudget RetryBudgetSettings
-	// EvacuateWithin is how long requests may still be sent to a failure domain after its evacuation was ordered; 0
-	// means that evacuations are not followed.
-	EvacuateWithin time.Duration
-	Cold           ColdSettings
+	// Evacuations is set where operators evacuate failure domains.
+	Evacuations bool
+	Cold        ColdSettings
 	// Exposure is the largest share of a service's requests, over the duration of a roll-out, that a bad
 	// version may get; 0 selects the built-in default.
 	Exposure float64
