--- a/internal/forwarder/eligible_test.go
+++ b/internal/forwarder/eligible_test.go
@@ -112,7 +112,7 @@
 		state.servers = append(state.servers, s)
 	}
 	away := second.start(1)[0]
-	away.Place = model.Place{Region: "far", Domain: "b"}
+	away.Backend, away.Place = "away", model.Place{Region: "far", Domain: "b"}
 	state.servers = append(state.servers, away)
 	first.onArrival = func(*http.Request) {
 		state.evacuations.Store(&model.Evacuations{InForce: map[model.DomainID]model.Evacuation{"a": {}}})
