End a stop before the grace period does, whatever is left

A caller that stops reading, or never ends its request, keeps a stop waiting until 200 ms before the end of the grace period. Closing a log that nobody reads takes 200 ms as well, and after the forwarder the process waited without a bound for its loops: a settings file whose read does not return, or a poll that its relay does not read, kept it running.

The forwarder now returns 300 ms before the end; running requests are cut when they were before, 0.5 s before it, and their refusals have 0.2 s. The process waits for its tasks until half of the margin is used, names those that still run in its last line, and closes the log within another quarter. Polls that wait for their relay are ended when the tasks are.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -73,8 +72,9 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Memory)))
 	m := meter.New()
 	lines := logger.NewBoundedWriter(out, func(n int) { m.Count("log/lost", n) })
+	end := time.Now().Add(s.Grace)
 	// Close fails only if the log has no reader any more, so the error cannot be logged.
-	defer func() { _ = lines.Close() }()
+	defer func() { _ = lines.CloseWithin(time.Until(end.Add(-forwarder.ExitMargin(s.Grace) / 4))) }()
 	log := logger.New(lines, model.LogSettings{Level: d.logLevel, Format: "json"}, s.Instance)
 	listeners, err := listenDirect(s, log)
 	if err != nil {
@@ -86,7 +86,6 @@
 	}})
 	var gossip *gossiper.Gossiper
 	relays := newRelays(s, func() []model.Instance { return gossip.Members() }, log)
-	defer relays.pool.Close()
 	platformState := follower.New(follower.Config{
 		Relays: relays.config(),
 		Store:  store,
@@ -136,26 +135,44 @@
 		Clock:      follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
-	var wg sync.WaitGroup
+	var t tasks
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	wg.Go(func() { platformState.Run(runCtx) })
-	wg.Go(func() { rollouts.Run(runCtx) })
-	wg.Go(func() { quarantine.Run(runCtx) })
+	// A poll may wait until its relay reads it.
+	context.AfterFunc(runCtx, relays.pool.Close)
+	t.start("follower", func() { platformState.Run(runCtx) })
+	t.start("shifter", func() { rollouts.Run(runCtx) })
+	t.start("quarantiner", func() { quarantine.Run(runCtx) })
 	if conn, err := listenGossip(s.Gossip); err != nil {
 		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: cannot open the gossip socket; gossip with other entries is off")
 	} else {
-		wg.Go(func() { gossip.Run(runCtx, conn) })
+		t.start("gossiper", func() { gossip.Run(runCtx, conn) })
 	}
-	if err := relays.serve(runCtx, &wg, platformState.Feed(), s.Gossip); err != nil {
+	if err := relays.serve(runCtx, &t, platformState.Feed(), s.Gossip); err != nil {
 		log.Warn().Err(err).Str("address", s.Gossip).Msg("direct: cannot open the relay listener; other entries cannot follow this one")
 	}
-	wg.Go(func() {
+	t.start("settings", func() {
 		d.watchSettings(runCtx, log, hup, text, func(s model.DirectSettings) { platformState.SetMaxKeyAge(s.MaxKeyAge); f.SetRetryBudget(s.RetryBudget) })
 	})
-	err = f.Run(ctx, listeners)
-	cancel()
-	wg.Wait()
-	log.Info().AnErr("cause", err).Msg("direct: stopped")
+	served := make(chan error, 1)
+	t.start("forwarder", func() {
+		defer cancel()
+		served <- f.Run(ctx, listeners)
+	})
+	select {
+	case <-ctx.Done():
+	case <-runCtx.Done():
+	}
+	end = time.Now().Add(s.Grace)
+	left := t.await(end.Add(-forwarder.ExitMargin(s.Grace) / 2))
+	select {
+	case err = <-served:
+	default:
+	}
+	line := log.Info()
+	if len(left) > 0 {
+		line = log.Warn().Strs("left", left)
+	}
+	line.AnErr("cause", err).Msg("direct: stopped")
 	return err
 }
 
--- a/internal/cli/relays.go
+++ b/internal/cli/relays.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,13 +56,13 @@
 }
 
 // serve answers polls at the address until the context ends.
-func (r *relays) serve(ctx context.Context, wg *sync.WaitGroup, feed *relayer.Feed, address string) error {
+func (r *relays) serve(ctx context.Context, t *tasks, feed *relayer.Feed, address string) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen for polls at %q: %w", address, err)
 	}
 	feed.Serve(r.server, follower.BootClock)
-	wg.Go(func() {
+	t.start("relay", func() {
 		// Serve ends when the listener closes.
 		_ = r.server.Serve(ctx, l)
 	})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -30,10 +30,12 @@
 	unreadyDelay = 3 * time.Second
 	// unlistedTime is how long before it closes its listener an entry can rely on having been left out.
 	unlistedTime = 500 * time.Millisecond
-	// exitMargin is how long before the end of the grace period, when the process is killed, shutdown must end.
-	exitMargin = 200 * time.Millisecond
-	// refusalTime is how long before that the requests which still run are ended, so that their refusals arrive.
-	refusalTime = 300 * time.Millisecond
+	// exitMargin is how long before the end of the grace period, when the process is killed, shutdown must end. The
+	// process ends its other work and its log in that time; 200 ms were used up by a log that nobody read.
+	exitMargin = 300 * time.Millisecond
+	// refusalTime is how long before that the requests which still run are ended, so that their refusals arrive. It is
+	// eight round trips between regions.
+	refusalTime = 200 * time.Millisecond
 	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply until a plan is known.
 	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 10 * time.Second
@@ -158,10 +160,16 @@
 	end, closeAt := now.Add(grace), now.Add(min(unreadyDelay, grace/2))
 	return stopPlan{
 		unlistedAt: closeAt.Add(-unlistedTime), closeAt: closeAt,
-		cutAt: end.Add(-margin), exitAt: end.Add(-margin * exitMargin / (exitMargin + refusalTime)),
+		cutAt: end.Add(-margin), exitAt: end.Add(-ExitMargin(grace)),
 	}
 }
 
+// ExitMargin returns how long before the end of the grace period Run has returned at the latest.
+func ExitMargin(grace time.Duration) time.Duration {
+	margin := min(exitMargin+refusalTime, grace/maxMarginDivisor)
+	return margin * exitMargin / (exitMargin + refusalTime)
+}
+
 // New returns a forwarder; Run starts it.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
--- a/internal/logger/bounded.go
+++ b/internal/logger/bounded.go
@@ -19,14 +19,14 @@
 	closeTimeout = 200 * time.Millisecond
 )
 
-// boundedWriter drops lines instead of blocking when its buffer is full.
-type boundedWriter struct{ diode.Writer }
+// BoundedWriter drops lines instead of blocking when its buffer is full.
+type BoundedWriter struct{ diode.Writer }
 
 // NewBoundedWriter returns a writer whose Write never blocks: it drops lines that do not fit into its buffer.
 // Once w accepts lines again, it passes the number of dropped lines to onLost and logs it.
-func NewBoundedWriter(w io.Writer, onLost func(n int)) io.WriteCloser {
+func NewBoundedWriter(w io.Writer, onLost func(n int)) BoundedWriter {
 	direct := zerolog.New(w).With().Timestamp().Logger()
-	return boundedWriter{diode.NewWriter(w, maxBufferedLines, flushInterval, func(n int) {
+	return BoundedWriter{diode.NewWriter(w, maxBufferedLines, flushInterval, func(n int) {
 		onLost(n)
 		direct.Warn().Int("lost", n).Msg("logger: lines were lost")
 	})}
@@ -35,10 +35,13 @@
 var errCloseTimeout = errors.New("the last lines of the log were not read in time")
 
 // Close flushes the buffered lines; after closeTimeout it gives up and returns an error.
-func (b boundedWriter) Close() error {
+func (b BoundedWriter) Close() error { return b.CloseWithin(closeTimeout) }
+
+// CloseWithin is Close with a shorter time-out.
+func (b BoundedWriter) CloseWithin(timeout time.Duration) error {
 	done := make(chan error, 1)
 	go func() { done <- b.Writer.Close() }()
-	t := time.NewTimer(closeTimeout)
+	t := time.NewTimer(min(timeout, closeTimeout))
 	defer t.Stop()
 	select {
 	case err := <-done:
