Bound what is held for callers that read slowly

A write to a caller that reads nothing had no deadline: with long answers and streams the request went on after its own deadline. Up to 256 KiB were read ahead of each answer without being counted, and the kernel held up to 4 MiB more. A backend server that cut such an answer off was taken for broken, the caller's pace was reported as the version's, and a server that had sent its whole answer kept counting as busy.

Writes now end two seconds after the request's deadline. What is held of answers is counted; reading ahead is bounded to an eighth of the memory, and beyond it an answer is forwarded while it is received. The kernel's buffer for a caller is set to 128 KiB. An answer that breaks after its caller held it up for a second is no fault of the server, the pace of a stream is measured without the time of writing, and an attempt ends for its server when the server has sent everything.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -121,6 +121,10 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
+		if tc, ok := conn.(interface{ SetWriteBuffer(int) error }); ok {
+			// This fails only if the connection is closed, which the next read reports.
+			_ = tc.SetWriteBuffer(sendBufferBytes)
+		}
 		g := a.generation(l.Addr())
 		c := g.track(conn, time.Now())
 		select {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -25,6 +25,9 @@
 	// maxLinger how long one may take in all.
 	lingerTime = time.Second
 	maxLinger  = 10 * time.Second
+	// sendBufferBytes is how much of an answer the kernel holds for a caller that does not read it, where it would hold
+	// up to 4 MiB; Linux doubles the value. It is enough for 10 MB/s over the 24 ms between regions.
+	sendBufferBytes = 128 << 10
 	// crossedBytes is how much is kept of a request that crossed the closing of its connection, to log its id.
 	crossedBytes = 4 << 10
 )
@@ -298,6 +301,10 @@
 	defer c.mu.Unlock()
 	c.state, c.since = s, time.Now()
 	c.receiving.Store(false)
+	if s == http.StateIdle {
+		// The handler's deadline for its answer must not fail what net/http itself writes next.
+		_ = c.Conn.SetWriteDeadline(time.Time{})
+	}
 }
 
 func (g *generation) list() []*callerConn {
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -39,6 +39,9 @@
 	w       http.ResponseWriter
 	started bool
 	status  int
+	// heldUp is how long writes of the current attempt's answer have waited for the caller, err the error of the last one.
+	heldUp time.Duration
+	err    error
 	// resetOnClose sets whether closing the caller's connection resets it; nil unless the caller knows no chunks.
 	resetOnClose func(on bool)
 }
@@ -100,6 +103,7 @@
 
 // deliver forwards an answer to the caller. After a failure, another attempt may be possible.
 func (f *Forwarder) deliver(ctx context.Context, c *call, rep *reply, out *answerWriter) *failure {
+	out.heldUp = 0
 	if f.escalate(c, rep) {
 		rep.peer.succeeded()
 		rep.closeConn()
@@ -121,12 +125,12 @@
 		rep.closeConn()
 		return &failure{kind: failureBroken, cause: err}
 	}
-	body, err := io.ReadAll(io.LimitReader(rep.Body, bufferedBodyBytes))
+	body, whole, err := f.readAhead(rep)
+	defer f.answers.release(cap(body))
 	if err != nil {
 		rep.closeConn()
 		return classifyError(ctx, err)
 	}
-	whole := len(body) < bufferedBodyBytes
 	failed := rep.StatusCode >= http.StatusInternalServerError
 	if failed {
 		c.mayHaveRun = true
@@ -151,8 +155,10 @@
 		return f.deliverLongBody(ctx, c, rep, out, body)
 	}
 	rep.releaseConn(now)
+	// The backend server has done its work, however long the caller takes.
+	rep.peer.finishAttempt(c.attempt, now)
 	out.writeHead(rep, int64(len(body)))
-	_, err = out.w.Write(body)
+	_, err = out.Write(body)
 	f.recordCompletion(c, rep, now, err)
 	return nil
 }
@@ -165,13 +171,15 @@
 	if rep.ContentLength < 0 {
 		rest = io.LimitReader(rest, maxUnsizedBytes)
 	}
-	n, err := io.Copy(out.w, io.MultiReader(bytes.NewReader(buffered), rest))
+	f.answers.hold(copyBufferBytes)
+	defer f.answers.release(copyBufferBytes)
+	n, err := io.CopyBuffer(out, io.MultiReader(bytes.NewReader(buffered), rest), make([]byte, copyBufferBytes))
 	if err == nil && rep.ContentLength < 0 && n >= maxUnsizedBytes {
 		err = errBodyTooLong
 	}
 	if err != nil {
 		rep.closeConn()
-		return classifyError(ctx, err)
+		return out.broken(classifyError(ctx, err))
 	}
 	out.complete()
 	now := time.Now()
@@ -199,10 +207,10 @@
 // after the last event that the caller received.
 func (f *Forwarder) deliverStream(ctx context.Context, c *call, rep *reply, out *answerWriter) *failure {
 	events := splitter.New(rep.Body)
-	rc := http.NewResponseController(out.w)
 	silenceLimit := max(minSilenceLimit, silenceGapFactor*c.route.MaxEventGap)
 	resumed, awaitingFirst, received, delivered := c.delivered, !c.delivered, 0, 0
 	lastID := ""
+	// The pace of the backend server is measured without the time in which the caller holds the stream up.
 	streamStart := time.Now()
 	lastData := streamStart
 	for {
@@ -220,7 +228,7 @@
 		}
 		if err != nil {
 			rep.closeConn()
-			return classifyError(ctx, err)
+			return out.broken(classifyError(ctx, err))
 		}
 		if !splitter.IsEvent(event) {
 			rep.closeConn()
@@ -260,16 +268,15 @@
 		// Whether such an event comes again after a resume could not be told.
 		c.unresumable = c.unresumable || hasData && id == ""
 		if delivered++; delivered == paceEvents {
-			f.recordEventInterval(c, rep, delivered, time.Since(streamStart), time.Now())
+			f.recordEventInterval(c, rep, delivered, time.Since(streamStart)-out.heldUp, time.Now())
 		}
 		if id != "" {
 			c.lastEvent = id
 		}
-		if _, err := out.w.Write(event); err != nil {
-			rep.closeConn()
-			return &failure{kind: failureLeft, cause: err}
-		}
-		if err := rc.Flush(); err != nil {
+		f.answers.hold(cap(event))
+		err = out.writeEvent(event)
+		f.answers.release(cap(event))
+		if err != nil {
 			rep.closeConn()
 			return &failure{kind: failureLeft, cause: err}
 		}
@@ -293,11 +300,12 @@
 	}
 	out.complete()
 	rep.releaseConn(now)
+	took := now.Sub(streamStart) - out.heldUp
 	if delivered < paceEvents {
-		f.recordEventInterval(c, rep, delivered, now.Sub(streamStart), now)
+		f.recordEventInterval(c, rep, delivered, took, now)
 	}
 	if delivered > 1 {
-		f.speeds.observeEventInterval(c.model, now.Sub(streamStart)/time.Duration(delivered-1))
+		f.speeds.observeEventInterval(c.model, took/time.Duration(delivered-1))
 	}
 	f.recordCompletion(c, rep, now, nil)
 	return nil
@@ -417,6 +425,7 @@
 	// A refusal is a plain struct, so encoding cannot fail.
 	b, _ := json.Marshal(body)
 	h.Set("Content-Length", strconv.Itoa(len(b)))
+	limitWrites(w, time.Now())
 	w.WriteHeader(status)
 	if _, err := w.Write(b); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", c.id).Msg("forwarder: the caller left before the refusal")
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -45,6 +45,8 @@
 	resting bool
 	// dropped means that a reused idle connection was closed as soon as the request was sent.
 	dropped bool
+	// heldUp means that the caller read so slowly that the backend server may have cut the answer off for it.
+	heldUp bool
 }
 
 // Error returns the kind of failure and its cause.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -137,6 +137,7 @@
 	peers       *peerTable
 	speeds      *speeds
 	bodies      *semaphore.Weighted
+	answers     heldMemory
 	reserved    map[string]bool
 	// stop is nil while the entry does not stop.
 	stop atomic.Pointer[stopPlan]
@@ -181,6 +182,7 @@
 		bodies:      semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyMemoryDivisor),
 		reserved:    map[string]bool{},
 	}
+	f.answers.limit = int64(cfg.Settings.Memory) / answerMemoryDivisor
 	f.running = acceptor.NewRunning()
 	for _, name := range cfg.Names.Reserved {
 		f.reserved[http.CanonicalHeaderKey(name)] = true
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -196,10 +196,14 @@
 	p.cachedPrefixes[prefixKey] = now
 }
 
-// finishRequest counts the end of a request.
-func (p *peer) finishRequest(now time.Time) {
+// finishAttempt counts the end of an attempt, once.
+func (p *peer) finishAttempt(a *attempt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if a.finished {
+		return
+	}
+	a.finished = true
 	p.unanswered--
 	p.doneSinceReport++
 	p.lastUsed = now
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -50,6 +50,7 @@
 	}
 	ctx, cancel := f.running.Context(r.Context(), c.deadline)
 	defer cancel()
+	limitWrites(w, c.deadline)
 	f.retryBudget.CountRequest(c.service.Service, now)
 	f.runAttempts(ctx, c, w)
 }
@@ -80,7 +81,7 @@
 			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
 			fail = f.deliver(ctx, c, rep, out)
 		}
-		p.finishRequest(time.Now())
+		p.finishAttempt(c.attempt, time.Now())
 		p.endAttempt(c.attempt, fail, time.Now())
 		if fail == nil {
 			return
@@ -146,7 +147,7 @@
 		f.recordCrash(p, fail.cause, now)
 		backendFault = !errors.Is(fail.cause, errRetryBudgetSpent)
 	case failureBroken, failureFailed, failureSilent:
-		c.mayHaveRun, backendFault = true, true
+		c.mayHaveRun, backendFault = true, !fail.heldUp
 	}
 	if backendFault {
 		breakerOpen := p.failed(fail.kind == failureUnreached, now)
--- a/internal/forwarder/suspects.go
+++ b/internal/forwarder/suspects.go
@@ -31,6 +31,8 @@
 type attempt struct {
 	call    *call
 	endedAt time.Time
+	// finished is set once the attempt no longer counts as open work of its backend server.
+	finished bool
 }
 
 // computeTraits returns the properties of the request that may crash backend servers.
