Wait for backend servers that read a long body slowly

The time for the head of an answer began when the request was sent, so a server that read a long body slowly was given up as silent and its request sent to another one. One that paused for longer than 0.8 s lost its connection as well: the kernel counts a closed receive window as silence. The body was copied for each attempt without being counted, and its memory could be released while an attempt still wrote it.

Such requests lift the kernel's limit of unacknowledged bytes until their connection is idle again, and reset it when they are given up, so that unread bytes are not kept. Bodies are written without a copy, and their memory is released once all writes have ended.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -15,7 +15,7 @@
 
 const (
 	// Unacked is how long sent bytes may remain unacknowledged. The peer's kernel acknowledges them, so a busy or slow
-	// process causes no delay.
+	// process causes no delay, unless more is sent than its receive window holds (SetUnacked).
 	Unacked = 800 * time.Millisecond
 	// probeInterval is the time without bytes after which a probe is sent, and the interval of probes; the kernel counts
 	// in seconds. An unanswered probe ends the connection Unacked after the last bytes, when the next one is due.
@@ -33,9 +33,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 2},
 		Control: func(_, _ string, rc syscall.RawConn) error {
 			var err error
-			controlErr := rc.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Unacked.Milliseconds()))
-			})
+			controlErr := rc.Control(func(fd uintptr) { err = setUnacked(fd, Unacked) })
 			if controlErr != nil {
 				return controlErr
 			}
@@ -44,6 +42,25 @@
 	}
 }
 
+// SetUnacked changes how long bytes that are sent on a connection may remain unacknowledged; 0 sets no bound. A peer that
+// reads a long message slowly closes its receive window, and the kernel counts that like a path that went dead.
+func SetUnacked(c net.Conn, d time.Duration) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := rc.Control(func(fd uintptr) { err = setUnacked(fd, d) })
+	return errors.Join(controlErr, err)
+}
+
+func setUnacked(fd uintptr, d time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
 // NewTransport returns an HTTP transport with up to maxIdle idle connections to a host. When a connection falls silent,
 // it closes the idle ones, which may have done so with it: a repeated call would find out one after the other.
 func NewTransport(timeout time.Duration, maxIdle int) *http.Transport {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
+	"github.com/bramleyhinge/bramleyhinge/internal/dialer"
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
@@ -66,6 +67,7 @@
 	conn      *conn
 	peer      *peer
 	writeDone <-chan error
+	sending   *sending
 	stop      func() bool
 	sealed    bool
 }
@@ -94,19 +96,17 @@
 		return nil, &failure{kind: failureUnreached, cause: errRetryBudgetSpent}
 	}
 	stop := context.AfterFunc(ctx, cn.close)
-	rep := &reply{conn: cn, peer: p, stop: stop}
+	sending := &sending{long: len(c.body) > longBodyBytes, patience: headTimeout}
+	rep := &reply{conn: cn, peer: p, stop: stop, sending: sending}
 	writeDone := make(chan error, 1)
 	rep.writeDone = writeDone
 	head := f.requestHead(c, p, now)
-	go func() {
-		_, err := cn.Write(append(head, c.body...))
-		writeDone <- err
-	}()
+	c.writes.Go(func() { writeDone <- sending.send(cn.Conn, head, c.body) })
 	until := now.Add(headTimeout)
 	if until.After(c.deadline) {
 		until = c.deadline
 	}
-	cn.extend = func() bool { return f.extendWait(c, cn, p, time.Now()) }
+	cn.extend = func() bool { return f.extendWait(c, rep, p, time.Now()) }
 	if err := cn.SetReadDeadline(until); err != nil {
 		rep.closeConn()
 		return nil, &failure{kind: failureBroken, cause: err}
@@ -252,7 +252,7 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// requestHead returns the request line and headers, with capacity for the body.
+// requestHead returns the request line and headers.
 func (f *Forwarder) requestHead(c *call, p *peer, now time.Time) []byte {
 	n := f.cfg.Names
 	h := c.header.Clone()
@@ -275,7 +275,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(c.body)))
 	}
 	var b bytes.Buffer
-	b.Grow(1024 + len(c.body))
+	b.Grow(1024)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.uri, c.host)
 	// Writing to a buffer cannot fail.
 	_ = h.Write(&b)
@@ -286,6 +286,10 @@
 // closeConn closes the connection, which also cancels the request at the backend server.
 func (r *reply) closeConn() {
 	r.stop()
+	if tc, ok := r.conn.Conn.(interface{ SetLinger(int) error }); ok && r.sending.long {
+		// What the backend server has not read would be kept for minutes. An error means that the connection is closed.
+		_ = tc.SetLinger(0)
+	}
 	r.conn.close()
 }
 
@@ -312,7 +316,7 @@
 	default:
 		// The answer arrived before the request was fully sent: another request must not follow the
 		// unsent rest.
-		r.conn.close()
+		r.closeConn()
 		return
 	}
 	keep := keepAliveTime(r.Header)
@@ -320,7 +324,11 @@
 		r.conn.close()
 		return
 	}
-	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
+	err := r.conn.SetReadDeadline(time.Time{})
+	if err == nil && r.sending.long {
+		err = dialer.SetUnacked(r.conn.Conn, dialer.Unacked)
+	}
+	if err != nil {
 		r.conn.close()
 		return
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,6 +87,8 @@
 	unresumable bool
 	// unchunked is set if the caller's version of HTTP has no chunks.
 	unchunked bool
+	// writes counts the writes of the request that have not ended: they use its body.
+	writes sync.WaitGroup
 }
 
 // prompt describes a request's prompt, as given by its headers.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -39,7 +39,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, release, refusal := f.readRequest(r, now)
-	defer release()
+	defer func() {
+		// The connections are closed by now, so that writes end.
+		c.writes.Wait()
+		release()
+	}()
 	if refusal != nil {
 		f.refuse(w, c, refusal)
 		return
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -6,9 +6,17 @@
 const silenceCheckInterval = time.Second
 
 // extendWait lets an attempt wait for a silent backend server for another while, and reports false if the caller is
-// better served by the end of the attempt: its time is over, or another attempt may still answer it.
-func (f *Forwarder) extendWait(c *call, cn *conn, p *peer, now time.Time) bool {
-	if !now.Before(c.deadline) || f.hasAlternative(c, p, now) {
+// better served by the end of the attempt: its time is over, or another attempt may still answer it. A backend server
+// that reads a long body slowly is not silent.
+func (f *Forwarder) extendWait(c *call, rep *reply, p *peer, now time.Time) bool {
+	if !now.Before(c.deadline) {
+		return false
+	}
+	if until := rep.sending.waitUntil(rep.sending.state(rep.conn.Conn), now); until.After(now) {
+		until = now.Add(min(until.Sub(now), silenceCheckInterval, c.deadline.Sub(now)))
+		return rep.conn.SetReadDeadline(until) == nil
+	}
+	if f.hasAlternative(c, p, now) {
 		return false
 	}
 	if !c.outwaited {
@@ -21,7 +29,7 @@
 	if until.After(c.deadline) {
 		until = c.deadline
 	}
-	return cn.SetReadDeadline(until) == nil
+	return rep.conn.SetReadDeadline(until) == nil
 }
 
 // hasAlternative reports whether the request may be sent to a backend server other than p that is not known to be
--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -91,3 +91,25 @@
 	}
 	return n
 }
+
+// Acknowledged returns how many sent bytes the peer's host has confirmed, or 0 if that cannot be known.
+func Acknowledged(c net.Conn) uint64 {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var n uint64
+	controlErr := rc.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = info.Bytes_acked
+		}
+	})
+	if controlErr != nil {
+		return 0
+	}
+	return n
+}
