Play evacuations, cold returns and allowed regions in the soak

Operators evacuate failure domains and take that back, with content that cannot be read; the servers of a domain crash and return cold together; one organisation may be served in two of three regions.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -32,6 +32,7 @@
 	work := run.Flag("work", "Add planned work: stops of entries beside changes of the plan, reloads and servers that drain or leave.").Bool()
 	odd := run.Flag("odd", "Add odd entries in the list of servers, servers that repeat refusals and errors when streams are resumed.").Bool()
 	silent := run.Flag("silent", "Add open connections that fall silent while new ones work, and changes that must be followed all the same.").Bool()
+	domains := run.Flag("domains", "Add evacuations of failure domains, servers that return cold together, and an organisation with allowed regions.").Bool()
 	entries := run.Flag("entries", "Entries.").Default("3").Int()
 	servers := run.Flag("servers", "Backend servers.").Default("8").Int()
 	callers := run.Flag("callers", "Callers.").Default("24").Int()
@@ -49,7 +50,7 @@
 			return exitFailure
 		}
 		report, err := soaker.Run(ctx, soaker.Config{
-			Program: *program, Dir: folder, Seed: n, Length: *length, Rate: *rate, Work: *work, Odd: *odd, Silent: *silent, Entries: *entries, Servers: *servers, Callers: *callers,
+			Program: *program, Dir: folder, Seed: n, Length: *length, Rate: *rate, Work: *work, Odd: *odd, Silent: *silent, Domains: *domains, Entries: *entries, Servers: *servers, Callers: *callers,
 		})
 		if err != nil {
 			fmt.Fprintf(errs, "soak: seed %d: %v\n", n, err)
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -46,6 +46,12 @@
 	PromptCrashes []promptCrashed
 	// Limits holds the limits that backend servers named.
 	Limits []namedLimit
+	// Domains is set if an organisation may not be served in all regions. ServerZones holds the failure domains of the
+	// backend servers by their index.
+	Domains     bool
+	ServerZones []string
+	Evacuations []evacuationSpan
+	Cold        []coldSpan
 	// KeyOwners maps each key that was ever in a plan to its organisation; RevokedAt holds the time at which
 	// a key was revoked.
 	KeyOwners map[string]string
@@ -85,6 +91,7 @@
 			"whole answers": t.checkAnswer(), "asked for": t.checkArrivals(h), "at most once": t.checkAtMostOnce(),
 			"true refusals": t.checkRefusal(), "keys": t.checkKey(h), "answered in time": t.checkAnswerTime(h), "planned stops": t.checkPlannedStops(h),
 			"leaving servers": t.checkDraining(h), "attempts": t.checkAttempts(h),
+			"domains": t.checkEvacuations(h),
 		} {
 			if err != nil {
 				out = append(out, violation{Invariant: invariant, Request: r.ID, Detail: err.Error()})
@@ -100,6 +107,7 @@
 	out = append(out, checkLimits(h)...)
 	out = append(out, checkLeaving(h)...)
 	out = append(out, checkRests(h)...)
+	out = append(out, checkCold(h)...)
 	slices.SortFunc(out, func(a, b violation) int { return strings.Compare(a.Invariant+a.Request, b.Invariant+b.Request) })
 	return out
 }
@@ -214,7 +222,9 @@
 }
 
 // isHarmless reports whether a fault excuses nothing: entries must follow the plan and pass over odd entries.
-func isHarmless(k fault) bool { return k == planChange || k == keyRevoke || k == oddEntry }
+func isHarmless(k fault) bool {
+	return k == planChange || k == keyRevoke || k == oddEntry
+}
 
 // settleTime is how long an entry may take after a fault until its invariants hold again.
 const settleTime = 4 * time.Second
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -59,6 +59,9 @@
 	case streamsBreak:
 		s.breakStreams(ctx, inj)
 		return
+	case domainEvacuate, domainReturn:
+		s.injectDomainFault(ctx, inj)
+		return
 	case promptCrash:
 		s.sendCrashingRequests(ctx, inj)
 	case planChange, keyRevoke:
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -138,8 +138,8 @@
 }
 
 // newEntry creates an entry with its proxies, and its settings and log files in dir.
-func newEntry(program, dir, name, zone string, store string) (*entry, error) {
-	e := &entry{program: program, settingsFile: filepath.Join(dir, name+".toml"), Entry: standin.Entry{Name: name, Zone: zone}}
+func newEntry(program, dir string, in standin.Entry, store string) (*entry, error) {
+	e := &entry{program: program, settingsFile: filepath.Join(dir, in.Name+".toml"), Entry: in}
 	ports, err := freePorts(3)
 	if err != nil {
 		return nil, err
@@ -160,6 +160,6 @@
 	if err := os.WriteFile(e.settingsFile, b, 0o600); err != nil {
 		return nil, err
 	}
-	e.logFile, err = os.Create(filepath.Join(dir, name+".log"))
+	e.logFile, err = os.Create(filepath.Join(dir, in.Name+".log"))
 	return e, err
 }
--- a/internal/soaker/restore.go
+++ b/internal/soaker/restore.go
@@ -28,6 +28,7 @@
 	err := s.store.Publish(s.plan)
 	s.mu.Unlock()
 	s.reportError(err)
+	s.restateEvacuation()
 	for i, srv := range s.servers {
 		sleep(ctx, rewriteSpread/time.Duration(len(s.servers)))
 		s.reportError(srv.announceAgain())
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -20,6 +20,8 @@
 	onArrival func(standin.Arrival)
 	// onCrash is called with the server's id if a part of a prompt crashes it.
 	onCrash func(id, part string)
+	// onCold is called with the server's id when it starts; nil if its servers are never cold.
+	onCold func(id string)
 	// link is the proxy through which entries reach the backend server.
 	link *proxy
 	// faultMu lets one fault at a time stop and start backend servers.
@@ -68,6 +70,11 @@
 		Slots: 32, StartUnixMilli: time.Now().UnixMilli(),
 	}
 	id := s.info.ID
+	if s.onCold != nil {
+		s.info.Cold = coldTime
+		s.onCold(id)
+		go s.warmUp(id)
+	}
 	s.faults = nil
 	s.handler = standin.NewHandler(s.info, s.onArrival, func(part string) { s.onCrash(id, part) })
 	s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -38,6 +38,9 @@
 	Odd bool
 	// Silent adds connections that fall silent while new ones work, and changes that must be followed all the same.
 	Silent bool
+	// Domains adds evacuations of failure domains, backend servers that return cold together, and an organisation that
+	// may not be served in all regions.
+	Domains bool
 	// Faults replaces the faults that are drawn from the seed.
 	Faults                    []Injection
 	Entries, Servers, Callers int
@@ -74,10 +77,14 @@
 	restarts sync.WaitGroup
 	// crashingSent counts the requests of sendCrashingRequests.
 	crashingSent atomic.Uint64
+	// domainMu lets one evacuation at a time write its object.
+	domainMu sync.Mutex
 
-	mu         sync.Mutex
-	history    history
-	plan       standin.Plan
+	mu      sync.Mutex
+	history history
+	plan    standin.Plan
+	// evacuated is the failure domain that the operator has evacuated, or empty.
+	evacuated  string
 	violations []string
 }
 
@@ -114,6 +121,9 @@
 		if cfg.Silent {
 			injections = append(injections, drawSilences(cfg.Seed, cfg.Length)...)
 		}
+		if cfg.Domains {
+			injections = append(injections, drawDomains(cfg.Seed, cfg.Length)...)
+		}
 		slices.SortStableFunc(injections, func(a, b Injection) int { return cmp.Compare(a.At, b.At) })
 	}
 	s.injectFaults(runCtx, injections)
@@ -187,6 +197,10 @@
 	for i := range keyCount {
 		s.plan.Keys[fmt.Sprintf("key-%d", i)] = []string{"mill", "shop"}[i%2]
 	}
+	if s.plan.Cold = s.cfg.Domains; s.cfg.Domains {
+		s.plan.Regions = map[string][]string{domainOrganisation: domainRegions}
+	}
+	s.history.Domains = s.cfg.Domains
 	s.history.KeyOwners, s.history.RevokedAt = maps.Clone(s.plan.Keys), map[string]time.Time{}
 	if err := s.store.Publish(s.plan); err != nil {
 		return err
@@ -195,13 +209,17 @@
 	for i := range s.cfg.Servers {
 		srv := &serverSlot{index: i, service: []string{"desk", "models"}[i%2], zone: zoneNames[i/2%len(zoneNames)], store: s.store, onArrival: s.recordArrival}
 		srv.onCrash = func(id, part string) { s.crashByPrompt(srv, id, part) }
+		s.history.ServerZones = append(s.history.ServerZones, srv.zone)
+		if s.cfg.Domains {
+			srv.onCold = s.recordCold
+		}
 		if err := srv.launch(); err != nil {
 			return err
 		}
 		s.servers = append(s.servers, srv)
 	}
 	for i := range s.cfg.Entries {
-		e, err := newEntry(s.cfg.Program, s.cfg.Dir, fmt.Sprintf("entry-%d", i), zoneNames[i%len(zoneNames)], l.Addr().String())
+		e, err := newEntry(s.cfg.Program, s.cfg.Dir, standin.Entry{Name: fmt.Sprintf("entry-%d", i), Zone: zoneNames[i%len(zoneNames)], Domains: s.cfg.Domains}, l.Addr().String())
 		if err != nil {
 			return err
 		}
@@ -231,6 +249,11 @@
 	s.updateHistory(func(h *history) { h.Arrivals = append(h.Arrivals, a) })
 }
 
+func (s *soak) recordCold(id string) {
+	now := time.Now()
+	s.updateHistory(func(h *history) { h.Cold = append(h.Cold, coldSpan{Server: id, From: now, To: now.Add(coldTime)}) })
+}
+
 // pickKey returns one of the keys, which may have been revoked.
 func (s *soak) pickKey(now time.Time) string { return fmt.Sprintf("key-%d", now.UnixNano()%keyCount) }
 
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -21,16 +21,17 @@
 		Seed   uint64
 		Length time.Duration
 		Rate   float64
-		// Work adds planned work, Silent connections that fall silent; Callers is 18 if it is 0.
+		// Work adds planned work, Silent connections that fall silent, Domains evacuations and cold returns; Callers is 18 if it is 0.
 		Work    bool
 		Silent  bool
+		Domains bool
 		Callers int
 		// Cause is why the seed failed; it is empty for the fixed seed.
 		Cause string
 	}
 	for _, c := range tester.Load[seedCase](t, "seeds.yaml") {
 		report, err := Run(t.Context(), Config{
-			Program: program, Dir: t.TempDir(), Seed: c.Seed, Length: c.Length, Rate: c.Rate, Work: c.Work, Silent: c.Silent, Entries: 3, Servers: 8, Callers: cmp.Or(c.Callers, 18),
+			Program: program, Dir: t.TempDir(), Seed: c.Seed, Length: c.Length, Rate: c.Rate, Work: c.Work, Silent: c.Silent, Domains: c.Domains, Entries: 3, Servers: 8, Callers: cmp.Or(c.Callers, 18),
 		})
 		if err != nil {
 			t.Fatalf("seed %d: %v", c.Seed, err)
