Expect work to take longer at servers that are slowed

Some servers report as a fourth figure of their load how long work takes at the moment. It was discarded with the third, so prompts and requests waited at servers that their neighbours slowed 2.5 times for 0.6 s at a time.

All figures are read now. picker.SpeedEstimate combines the last figure, which counts less with its age and nothing after 0.6 s, with the means of the figures and of what the server's own answers show. EarliestFirstToken and LeastLoaded stretch the expected work with it. Figures below the usual one count as usual, and small differences as none, so that requests do not follow the best figure. Servers that report no fourth figure are served as before. Figures that cannot be read leave the last good ones in force and are logged once for each lifetime of a server.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -315,6 +315,7 @@
 	o := f.outcome(c, rep.peer, false, now)
 	o.TimeToHead, o.EventInterval = 0, took/time.Duration(events-1)
 	f.cfg.Versions.Observe(o, now)
+	f.observeSpeed(o, rep.peer, now)
 	f.cfg.Meter.ObserveEventInterval(c.org, model.ClassID(c.route.Route), o.EventInterval)
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -166,7 +166,7 @@
 	n := limiter.Announcement{Leaving: rep.Header.Get(f.cfg.Names.Leaving) != ""}
 	if matched {
 		if load := rep.Header.Get(f.cfg.Names.Load); load != "" {
-			rep.peer.recordLoad(load, now)
+			f.observeLoad(rep.peer, load, now)
 		}
 		f.readLimit(rep, &n)
 		n.Rest, n.RestKnown = f.readRest(rep), true
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -134,6 +134,7 @@
 	retryBudget *limiter.RetryBudget
 	peers       *peerTable
 	speeds      *speeds
+	work        workMeans
 	bodies      *semaphore.Weighted
 	reserved    map[string]bool
 	// stop is nil while the entry does not stop.
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,8 +20,6 @@
 	sweepInterval = time.Second
 	// reportMaxAge is how long a load report is used; the reported load lasts about as long.
 	reportMaxAge = 2 * time.Second
-	// maxReported is more requests than a backend server can hold.
-	maxReported = 1 << 20
 	// cacheLifetime is how long an engine is assumed to keep the shared prefix of a prompt in its cache.
 	cacheLifetime = 15 * time.Second
 )
@@ -48,6 +44,11 @@
 	running         int
 	waiting         int
 	reportedAt      time.Time
+	// slots is the number of slots in the last report, 0 if it named none; speed is the server's speed.
+	slots           int
+	speed           picker.SpeedEstimate
+	// oddLoad is set once an unreadable report was logged.
+	oddLoad         bool
 	sentSinceReport int
 	doneSinceReport int
 	unanswered      int
@@ -150,6 +151,8 @@
 	if now.Sub(p.reportedAt) < reportMaxAge {
 		b.Running, b.Waiting, b.Sent, b.Answered = p.running, p.waiting, p.sentSinceReport, p.doneSinceReport
 	}
+	b.Server.Slots = orDefault(s.Slots, p.slots)
+	b.Slowdown = p.speed.At(now)
 	return b, p.breaker.IsOpen(now)
 }
 
@@ -161,6 +164,8 @@
 	if now.Sub(p.reportedAt) < reportMaxAge {
 		e.Busy = max(e.Busy, p.running+p.waiting+p.sentSinceReport-p.doneSinceReport)
 	}
+	e.Server.Slots = orDefault(s.Slots, p.slots)
+	e.Slowdown = p.speed.At(now)
 	at, ok := p.cachedPrefixes[prefixKey]
 	e.PrefixCached = ok && now.Sub(at) < cacheLifetime
 	return e, p.breaker.IsOpen(now)
@@ -205,23 +210,6 @@
 	p.lastUsed = now
 }
 
-// recordLoad stores the load reported by an answer: running requests, waiting requests, slots.
-func (p *peer) recordLoad(value string, now time.Time) {
-	running, rest, ok := strings.Cut(value, ",")
-	waiting, _, ok2 := strings.Cut(rest, ",")
-	if !ok || !ok2 {
-		return
-	}
-	r, err := strconv.Atoi(strings.TrimSpace(running))
-	w, err2 := strconv.Atoi(strings.TrimSpace(waiting))
-	if err != nil || err2 != nil || min(r, w) < 0 || max(r, w) > maxReported {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running, p.waiting, p.reportedAt, p.sentSinceReport, p.doneSinceReport = r, w, now, 0, 0
-}
-
 // maySend reports whether the peer's breaker is closed and its last report does not say that its slots are taken.
 func (p *peer) maySend(slots int, now time.Time) bool {
 	p.mu.Lock()
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -261,7 +261,9 @@
 		}
 		c.failedAt[p.server.Version] = true
 	}
-	f.cfg.Versions.Observe(f.outcome(c, p, failed, now), now)
+	o := f.outcome(c, p, failed, now)
+	f.cfg.Versions.Observe(o, now)
+	f.observeSpeed(o, p, now)
 }
 
 func (f *Forwarder) outcome(c *call, p *peer, failed bool, now time.Time) Outcome {
--- a/internal/picker/direct.go
+++ b/internal/picker/direct.go
@@ -1,6 +1,10 @@
 package picker
 
-import "github.com/bramleyhinge/bramleyhinge/pkg/model"
+import (
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
+)
 
 // Backend is the state of a backend server as known to an entry that forwards to it directly.
 type Backend struct {
@@ -10,6 +14,8 @@
 	// Sent and Answered count this entry's requests since that report; Unanswered counts all
 	// requests that entries have sent and that are not answered yet.
 	Sent, Answered, Unanswered int
+	// Slowdown stretches the requests that run or wait and the one to be sent.
+	Slowdown Slowdown
 }
 
 // DirectInput is the input to a choice by LeastLoaded. Draw is a random number in [0, 1).
@@ -51,13 +57,25 @@
 	best := eligible[offset]
 	for i := range eligible {
 		b := eligible[(offset+i)%len(eligible)]
-		if estimateLoad(b)+distancePenalty(b, in.Self) < estimateLoad(best)+distancePenalty(best, in.Self) {
+		if estimateCost(b, in.Self) < estimateCost(best, in.Self) {
 			best = b
 		}
 	}
 	return DirectChoice{Server: best.Server, Found: true, Load: estimateLoad(best), Busy: countBusy(best), Eligible: len(eligible)}
 }
 
+// plainWork is the time that a request to a plain service usually takes: the slowest answers of an unloaded one take a
+// third of a second.
+const plainWork = 150 * time.Millisecond
+
+// estimateCost returns the load of a backend server with the penalties for distance and for slowness. A slowed server
+// counts as if it held as many more requests as its work takes longer, the request to be sent included.
+func estimateCost(b Backend, self model.Place) float64 {
+	stretch := float64(b.Slowdown.Stretch(plainWork))/float64(plainWork) - 1
+	slow := float64(countBusy(b)+1) * stretch / float64(max(b.Server.Slots, 1))
+	return estimateLoad(b) + slow + distancePenalty(b, self)
+}
+
 // estimateLoad returns the estimated load of a backend server; 1 means that all slots are taken.
 func estimateLoad(b Backend) float64 {
 	u := float64(countBusy(b)) / float64(max(b.Server.Slots, 1))
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -44,6 +44,8 @@
 	Busy int
 	// PrefixCached is true if the engine recently prefilled the shared parts of the prompt.
 	PrefixCached bool
+	// Slowdown stretches the prefill of the backlog and the prompt.
+	Slowdown Slowdown
 	// Limited is true if the engine takes only a limited number of requests a second.
 	Limited bool
 }
@@ -152,10 +154,11 @@
 }
 
 func expectedWait(e Engine, in EngineInput) time.Duration {
-	wait := e.Backlog + in.PrefillTime + time.Duration(float64(fullBatchWait)*float64(e.Busy)/float64(max(e.Server.Slots, 1)))
+	prefill := e.Backlog + in.PrefillTime
 	if e.PrefixCached {
-		wait -= in.SharedPrefillTime
+		prefill -= in.SharedPrefillTime
 	}
+	wait := e.Slowdown.Stretch(prefill) + time.Duration(float64(fullBatchWait)*float64(e.Busy)/float64(max(e.Server.Slots, 1)))
 	if e.Server.ColdRemaining > 0 {
 		wait += coldStartWait
 	}
