Keep requests away from engines whose memory they would overfill

PlanEngine.KVCapacity was never read: prompts went to engines that had no memory left for them and their output, which preempt requests then and read their prompts again, while other engines had room.

An entry counts the tokens that its requests hold at each engine, prompt and expected output, from sending to the end of the answer, and tells them to the entries of its region in the work message. EarliestFirstToken takes only engines with room as long as there is one, and the least overfilled ones, in steps, if there is none. A capacity of 0 has no effect.

--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -39,14 +39,14 @@
 type peer struct {
 	server model.BackendServer
 
-	mu              sync.Mutex
-	breaker         breaker.Breaker
-	running         int
-	waiting         int
-	reportedAt      time.Time
+	mu         sync.Mutex
+	breaker    breaker.Breaker
+	running    int
+	waiting    int
+	reportedAt time.Time
 	// slots is the number of slots in the last report, 0 if it named none; speed is the server's speed.
-	slots           int
-	speed           picker.SpeedEstimate
+	slots int
+	speed picker.SpeedEstimate
 	// oddLoad is set once an unreadable report was logged.
 	oddLoad         bool
 	sentSinceReport int
@@ -54,6 +54,8 @@
 	unanswered      int
 	// backlog is the estimated prefill time of the prompts that were sent and are not answered yet.
 	backlog time.Duration
+	// tokens is the number of tokens that the requests hold which are not finished.
+	tokens model.Tokens
 	// cachedPrefixes maps a shared prompt prefix to the time when the engine last prefilled it.
 	cachedPrefixes map[string]time.Time
 	idleConns      []*conn
@@ -136,7 +138,7 @@
 	for key, p := range t.peers {
 		p.mu.Lock()
 		if p.unanswered > 0 {
-			out[key.id] = gossiper.OpenWork{Unanswered: p.unanswered, Backlog: p.backlog}
+			out[key.id] = gossiper.OpenWork{Unanswered: p.unanswered, Backlog: p.backlog, Tokens: p.tokens}
 		}
 		p.mu.Unlock()
 	}
@@ -160,7 +162,7 @@
 func (p *peer) asEngine(s model.BackendServer, prefixKey string, others gossiper.OpenWork, now time.Time) (picker.Engine, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := picker.Engine{Server: s, Backlog: p.backlog + others.Backlog, Busy: p.unanswered + others.Unanswered}
+	e := picker.Engine{Server: s, Backlog: p.backlog + others.Backlog, Busy: p.unanswered + others.Unanswered, Tokens: p.tokens + others.Tokens}
 	if now.Sub(p.reportedAt) < reportMaxAge {
 		e.Busy = max(e.Busy, p.running+p.waiting+p.sentSinceReport-p.doneSinceReport)
 	}
@@ -171,13 +173,14 @@
 	return e, p.breaker.IsOpen(now)
 }
 
-// startRequest counts a sent request and adds the prefill time of its prompt to the backlog.
-func (p *peer) startRequest(prefillTime time.Duration, now time.Time) {
+// startRequest counts a sent request and the tokens that it holds, and adds the prefill time of its prompt to the backlog.
+func (p *peer) startRequest(prefillTime time.Duration, tokens model.Tokens, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unanswered++
 	p.sentSinceReport++
 	p.backlog += prefillTime
+	p.tokens += tokens
 	p.lastUsed = now
 }
 
@@ -201,11 +204,12 @@
 	p.cachedPrefixes[prefixKey] = now
 }
 
-// finishRequest counts the end of a request.
-func (p *peer) finishRequest(now time.Time) {
+// finishRequest counts the end of a request that held tokens.
+func (p *peer) finishRequest(tokens model.Tokens, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unanswered--
+	p.tokens -= tokens
 	p.doneSinceReport++
 	p.lastUsed = now
 }
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -136,6 +136,7 @@
 func (f *Forwarder) chooseEngine(c *call, m model.ModelID, servers []model.BackendServer, now time.Time) (picker.EngineChoice, picker.EngineInput) {
 	in := picker.EngineInput{Self: f.cfg.Settings.Place, PrefixKey: c.prefixKey(m), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	in.PrefillTime, in.SharedPrefillTime = f.speeds.estimatePrefill(m, c.service.Engine, c.prompt)
+	in.Tokens, in.KVCapacity = c.heldTokens(), c.service.Engine.KVCapacity
 	if len(c.route.Models) > 1 {
 		in.SmallestModel = m == c.route.Models[0]
 		in.LargerModel = !in.SmallestModel
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -73,14 +73,14 @@
 			last = model.Refuse(model.KindLeaving, "the entry stops before an answer would be complete: send the request again").WithRetry(stoppingRetry)
 			break
 		}
-		p.startRequest(c.prefillTime, now)
+		p.startRequest(c.prefillTime, c.heldTokens(), now)
 		c.attemptStart, c.attempt = now, p.startAttempt(c)
 		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
 		if p.removeBacklog(c.prefillTime); fail == nil {
 			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
 			fail = f.deliver(ctx, c, rep, out)
 		}
-		p.finishRequest(time.Now())
+		p.finishRequest(c.heldTokens(), time.Now())
 		p.endAttempt(c.attempt, fail, time.Now())
 		if fail == nil {
 			return
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -49,6 +49,8 @@
 	Unanswered int
 	// Backlog is the prefill time of the prompts of these requests.
 	Backlog time.Duration
+	// Tokens is the number of tokens that these requests hold at an engine of known capacity, with the output still to come.
+	Tokens model.Tokens
 }
 
 // Store reads and writes the objects that hold the entries' addresses.
@@ -204,6 +206,7 @@
 			w := m.work[id]
 			sum.Unanswered += w.Unanswered
 			sum.Backlog += w.Backlog
+			sum.Tokens += w.Tokens
 		}
 	}
 	return sum
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		work := map[model.BackendID]OpenWork{"b": {Unanswered: i + 1, Backlog: time.Duration(i+1) * 100 * time.Millisecond}}
+		work := map[model.BackendID]OpenWork{"b": {Unanswered: i + 1, Backlog: time.Duration(i+1) * 100 * time.Millisecond, Tokens: model.Tokens(i+1) * 10_000}}
 		g := New(Config{
 			Self: model.InstanceID(fmt.Sprint("e", i)), Place: model.Place{Region: region}, Address: conn.LocalAddr().String(),
 			Store: platform, SharedKind: "marks", Local: func() map[model.BackendID]OpenWork { return work }, Log: zerolog.Nop(),
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	want := OpenWork{Unanswered: 2 + 3, Backlog: 500 * time.Millisecond}
+	want := OpenWork{Unanswered: 2 + 3, Backlog: 500 * time.Millisecond, Tokens: 50_000}
 	var got OpenWork
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) && got != want; time.Sleep(10 * time.Millisecond) {
 		if _, err := stranger.Write(encodeWork(map[model.BackendID]OpenWork{"b": {Unanswered: 1000}})); err != nil {
@@ -198,14 +198,16 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Backlog: time.Second}, "b": {}}))
+	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Tokens: 12_000}}))
 	f.Add([]byte{messageWork, 1, 2, 3})
+	f.Add([]byte{messageWorkTokens, 1, 2, 3, 4, 5, 6})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		work, err := decodeWork(b)
 		if err != nil {
 			return
 		}
 		for _, w := range work {
-			if w.Unanswered < 0 || w.Backlog < 0 || w.Backlog > time.Hour {
+			if w.Unanswered < 0 || w.Backlog < 0 || w.Backlog > time.Hour || w.Tokens < 0 || w.Tokens > maxTokens {
 				t.Errorf("message claims %+v", w)
 			}
 		}
--- a/internal/picker/bench_test.go
+++ b/internal/picker/bench_test.go
@@ -13,7 +13,7 @@
 func BenchmarkEarliestFirstToken(b *testing.B) {
 	in := EngineInput{
 		Self: model.Place{Region: "r0", Domain: "d0"}, PrefixKey: "part\x00large", LargerModel: true,
-		PrefillTime: 100 * time.Millisecond, SharedPrefillTime: 60 * time.Millisecond,
+		PrefillTime: 100 * time.Millisecond, SharedPrefillTime: 60 * time.Millisecond, Tokens: 12_000, KVCapacity: 570_000,
 		Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{},
 	}
 	for i := range 52 {
@@ -22,7 +22,7 @@
 			Place: model.Place{Region: model.RegionID(fmt.Sprint("r", i%2)), Domain: model.DomainID(fmt.Sprint("d", i%4))},
 		}
 		in.Excluded[s.Backend] = false
-		in.Engines = append(in.Engines, Engine{Server: s, Backlog: time.Duration(i*37%50) * time.Millisecond, Busy: i * 7 % 20})
+		in.Engines = append(in.Engines, Engine{Server: s, Backlog: time.Duration(i*37%50) * time.Millisecond, Busy: i * 7 % 20, Tokens: model.Tokens(i) * 1000})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -42,6 +42,8 @@
 	Backlog time.Duration
 	// Busy is the number of requests that run or wait.
 	Busy int
+	// Tokens is the number of tokens that these requests hold, with the output still to come.
+	Tokens model.Tokens
 	// PrefixCached is true if the engine recently prefilled the shared parts of the prompt.
 	PrefixCached bool
 	// Slowdown stretches the prefill of the backlog and the prompt.
@@ -61,7 +63,9 @@
 	SmallestModel, LargerModel bool
 	// PrefillTime is the prefill time of the whole prompt, SharedPrefillTime that of its shared parts.
 	PrefillTime, SharedPrefillTime time.Duration
-	Excluded                       map[model.BackendID]bool
+	// Tokens is what the request would hold at an engine, KVCapacity what one of the engines can hold; 0 is unknown.
+	Tokens, KVCapacity model.Tokens
+	Excluded           map[model.BackendID]bool
 	// Barred engines must not get the request, even if all others are excluded.
 	Barred map[model.BackendID]bool
 }
@@ -95,9 +99,10 @@
 	})
 	preferredFound := false
 	reserved := reservedEngines(in)
+	memoryLimit := lowestMemoryRank(in)
 	busy, slots := 0, 0
 	for _, e := range engines {
-		if e.Server.State != model.BackendReady || in.Excluded[e.Server.Backend] || in.Barred[e.Server.Backend] {
+		if !in.isEligible(e) {
 			continue
 		}
 		best.Eligible++
@@ -110,6 +115,9 @@
 			busy += e.Busy
 			slots += e.Server.Slots
 		}
+		if memoryRank(e.Tokens, in.Tokens, in.KVCapacity) > memoryLimit {
+			continue
+		}
 		wait := expectedWait(e, in)
 		switch {
 		case mismatch && in.SmallestModel:
@@ -127,6 +135,11 @@
 	return best
 }
 
+// isEligible reports whether an engine may get the request.
+func (in EngineInput) isEligible(e Engine) bool {
+	return e.Server.State == model.BackendReady && !in.Excluded[e.Server.Backend] && !in.Barred[e.Server.Backend]
+}
+
 // reservedEngines returns the engines of each region that are reserved for the smallest models.
 // The choice depends only on the names of the available engines, so that entries that see the same
 // engines make the same choice.
--- a/internal/picker/replay_test.go
+++ b/internal/picker/replay_test.go
@@ -13,7 +13,7 @@
 const (
 	// replayGossip is how often entries learn of each other's open work.
 	replayGossip = 100 * time.Millisecond
-	// replayAnswer is how long an answer is written after its first token.
+	// replayAnswer is how long an answer is written after its first token if its kind does not say.
 	replayAnswer = 1500 * time.Millisecond
 	replaySlots  = 48
 )
@@ -30,12 +30,18 @@
 		Share           float64
 		Prefill, Shared time.Duration
 		Prefixes        int
+		// Tokens is what a request holds until its answer ends, after the time Answer.
+		Tokens model.Tokens
+		Answer time.Duration
 	}
+	KVCapacity model.Tokens
 	// Engines are slowed by a factor for a time, again and again.
 	SlowEvery, SlowFor time.Duration
 	SlowFactor         float64
 	// MaxBusiest bounds the work of the busiest engine, as a multiple of the mean.
 	MaxBusiest float64
+	// MaxFull bounds the tokens that an engine holds, as a multiple of the capacity.
+	MaxFull float64
 }
 
 type replayJob struct {
@@ -43,15 +49,20 @@
 	estimate          time.Duration
 	firstToken, endAt time.Duration
 	slowed            bool
+	tokens            model.Tokens
 }
 
 type replayResult struct {
 	waits []time.Duration
 	// busiest is the largest amount of work that an engine got, as a multiple of the mean.
 	busiest float64
+	// fullest is the largest number of tokens that an engine held, as a multiple of the capacity.
+	fullest float64
 }
 
-func (r replayResult) quantile(q float64) time.Duration { return r.waits[int(q*float64(len(r.waits)-1))] }
+func (r replayResult) quantile(q float64) time.Duration {
+	return r.waits[int(q*float64(len(r.waits)-1))]
+}
 
 // isSlowed reports whether engine k is slowed at a time, and when that changes.
 func (l replayLoad) isSlowed(k int, at time.Duration) (bool, time.Duration) {
@@ -100,6 +111,7 @@
 	type view struct {
 		backlog time.Duration
 		busy    int
+		tokens  model.Tokens
 	}
 	own, told := make([][]view, l.Entries), make([][]view, l.Entries)
 	sum := make([]view, l.Engines)
@@ -122,10 +134,14 @@
 					speeds[j.entry][k].Report(percent, start.Add(j.firstToken))
 				}
 			}
-			for len(running[k]) > 0 && running[k][0].endAt <= now {
-				own[running[k][0].entry][k].busy--
-				running[k] = running[k][1:]
-			}
+			running[k] = slices.DeleteFunc(running[k], func(j replayJob) bool {
+				if j.endAt > now {
+					return false
+				}
+				own[j.entry][k].busy--
+				own[j.entry][k].tokens -= j.tokens
+				return true
+			})
 		}
 	}
 	var out replayResult
@@ -137,7 +153,7 @@
 			for e := range own {
 				copy(told[e], own[e])
 				for k, v := range own[e] {
-					sum[k] = view{sum[k].backlog + v.backlog, sum[k].busy + v.busy}
+					sum[k] = view{sum[k].backlog + v.backlog, sum[k].busy + v.busy, sum[k].tokens + v.tokens}
 				}
 			}
 			gossipAt += replayGossip
@@ -149,19 +165,19 @@
 				break
 			}
 		}
-		in := EngineInput{PrefillTime: kind.Prefill, SharedPrefillTime: kind.Shared}
+		in := EngineInput{PrefillTime: kind.Prefill, SharedPrefillTime: kind.Shared, Tokens: kind.Tokens, KVCapacity: l.KVCapacity}
 		if kind.Prefixes > 0 {
 			in.PrefixKey = fmt.Sprint("prefix-", kind.Shared, int(math.Pow(float64(kind.Prefixes), r.Float64())))
 		}
 		for k, s := range servers {
 			v, o := own[entry][k], told[entry][k]
 			in.Engines = append(in.Engines, Engine{
-				Server: s, Backlog: max(v.backlog+sum[k].backlog-o.backlog, 0), Busy: max(v.busy+sum[k].busy-o.busy, 0),
+				Server: s, Backlog: max(v.backlog+sum[k].backlog-o.backlog, 0), Busy: max(v.busy+sum[k].busy-o.busy, 0), Tokens: max(v.tokens+sum[k].tokens-o.tokens, 0),
 				PrefixCached: known[entry][in.PrefixKey+string(s.Backend)], Slowdown: speeds[entry][k].At(start.Add(now)),
 			})
 		}
 		k := index[EarliestFirstToken{}.Decide(in).Server.Backend]
-		j := replayJob{entry: entry, estimate: kind.Prefill}
+		j := replayJob{entry: entry, estimate: kind.Prefill, tokens: kind.Tokens}
 		prefill := kind.Prefill
 		if in.PrefixKey != "" {
 			if in.Engines[k].PrefixCached {
@@ -177,11 +193,17 @@
 		}
 		free[k] = l.process(k, max(free[k], now), prefill)
 		work[k] += prefill
-		j.firstToken, j.endAt = free[k], free[k]+replayAnswer
+		j.firstToken, j.endAt = free[k], free[k]+max(kind.Answer, replayAnswer)
 		j.slowed, _ = l.isSlowed(k, free[k])
 		own[entry][k].backlog += j.estimate
 		own[entry][k].busy++
+		own[entry][k].tokens += j.tokens
 		waiting[k], running[k] = append(waiting[k], j), append(running[k], j)
+		held := model.Tokens(0)
+		for _, j := range running[k] {
+			held += j.tokens
+		}
+		out.fullest = max(out.fullest, float64(held)/float64(max(l.KVCapacity, 1)))
 		out.waits = append(out.waits, free[k]-now)
 	}
 	slices.Sort(out.waits)
