Derive the cost of other failure domains and regions from connect times

The cost of distance was constant, chosen for links of 0.5 ms one way between failure domains and 12 ms between regions. Between failure domains that are 4.5 ms apart, requests went to the other one for gains that the way used up.

An entry takes the shortest of its own connects to each failure domain over one to two minutes, of at least five, so that congestion does not count. What is longer than the usual round trip is added to the constants twice, for the connect and the answer, up to 40 ms between failure domains and 240 ms between regions. The constants are the least and hold until enough was measured and ten minutes after the last connect, so links that are as short as usual cost what they did.

--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -130,7 +130,12 @@
 		}
 	}
 	f.cfg.Meter.Count("connections/opened", 1)
-	return dial(ctx, p.server.Address)
+	start := time.Now()
+	c, err := dial(ctx, p.server.Address)
+	if err == nil {
+		f.distances.observe(p.server.Place, time.Since(start), start)
+	}
+	return c, err
 }
 
 // nonIdempotentMaxIdle is the longest idle time of a connection that may carry a request which must not
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -135,6 +135,7 @@
 	peers       *peerTable
 	speeds      *speeds
 	work        workMeans
+	distances   distances
 	bodies      *semaphore.Weighted
 	reserved    map[string]bool
 	// stop is nil while the entry does not stop.
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -108,6 +108,7 @@
 			continue
 		}
 		b, excluded := f.peers.get(s, now).asBackend(s, f.remoteWork(s.Backend, now), now)
+		b.RoundTrip = f.distances.roundTrip(s.Place, now)
 		in.Excluded[s.Backend] = excluded
 		in.Backends = append(in.Backends, b)
 	}
@@ -143,6 +144,7 @@
 	}
 	for _, s := range servers {
 		e, excluded := f.peers.get(s, now).asEngine(s, in.PrefixKey, f.remoteWork(s.Backend, now), now)
+		e.RoundTrip = f.distances.roundTrip(s.Place, now)
 		permission := f.cfg.Announcements.Check(s, now)
 		e.Limited = permission.Limited
 		if !permission.Allowed() {
--- a/internal/picker/direct.go
+++ b/internal/picker/direct.go
@@ -16,6 +16,8 @@
 	Sent, Answered, Unanswered int
 	// Slowdown stretches the requests that run or wait and the one to be sent.
 	Slowdown Slowdown
+	// RoundTrip is the connect time to the server's failure domain, 0 if it is not known.
+	RoundTrip time.Duration
 }
 
 // DirectInput is the input to a choice by LeastLoaded. Draw is a random number in [0, 1).
@@ -73,7 +75,7 @@
 func estimateCost(b Backend, self model.Place) float64 {
 	stretch := float64(b.Slowdown.Stretch(plainWork))/float64(plainWork) - 1
 	slow := float64(countBusy(b)+1) * stretch / float64(max(b.Server.Slots, 1))
-	return estimateLoad(b) + slow + distancePenalty(b, self)
+	return estimateLoad(b) + slow + distanceLoad(b.Server.Place, self, b.RoundTrip)
 }
 
 // estimateLoad returns the estimated load of a backend server; 1 means that all slots are taken.
@@ -86,7 +88,3 @@
 }
 
 func countBusy(b Backend) int { return max(b.Unanswered, b.Running+b.Waiting+b.Sent-b.Answered) }
-
-func distancePenalty(b Backend, self model.Place) float64 {
-	return distanceCost(b.Server.Place, self, domainPenalty, regionPenalty)
-}
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -48,6 +48,8 @@
 	PrefixCached bool
 	// Slowdown stretches the prefill of the backlog and the prompt.
 	Slowdown Slowdown
+	// RoundTrip is the connect time to the engine's failure domain, 0 if it is not known.
+	RoundTrip time.Duration
 	// Limited is true if the engine takes only a limited number of requests a second.
 	Limited bool
 }
@@ -175,5 +177,5 @@
 	if e.Server.ColdRemaining > 0 {
 		wait += coldStartWait
 	}
-	return wait + distanceCost(e.Server.Place, in.Self, domainWaitPenalty, regionWaitPenalty)
+	return wait + distanceWait(e.Server.Place, in.Self, e.RoundTrip)
 }
