--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -138,6 +138,8 @@
 	retryBudget *limiter.RetryBudget
 	peers       *peerTable
 	speeds      *speeds
+	work        workMeans
+	distances   distances
 	bodies      *semaphore.Weighted
 	answers     heldMemory
 	reserved    map[string]bool
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -4,8 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,8 +20,6 @@
 	sweepInterval = time.Second
 	// reportMaxAge is how long a load report is used; the reported load lasts about as long.
 	reportMaxAge = 2 * time.Second
-	// maxReported is more requests than a backend server can hold.
-	maxReported = 1 << 20
 	// cacheLifetime is how long an engine is assumed to keep the shared prefix of a prompt in its cache.
 	cacheLifetime = 15 * time.Second
 )
@@ -43,16 +39,23 @@
 type peer struct {
 	server model.BackendServer
 
-	mu              sync.Mutex
-	breaker         breaker.Breaker
-	running         int
-	waiting         int
-	reportedAt      time.Time
+	mu         sync.Mutex
+	breaker    breaker.Breaker
+	running    int
+	waiting    int
+	reportedAt time.Time
+	// slots is the number of slots in the last report, 0 if it named none; speed is the server's speed.
+	slots int
+	speed picker.SpeedEstimate
+	// oddLoad is set once an unreadable report was logged.
+	oddLoad         bool
 	sentSinceReport int
 	doneSinceReport int
 	unanswered      int
 	// backlog is the estimated prefill time of the prompts that were sent and are not answered yet.
 	backlog time.Duration
+	// tokens is the number of tokens that the requests hold which are not finished.
+	tokens model.Tokens
 	// cachedPrefixes maps a shared prompt prefix to the time when the engine last prefilled it.
 	cachedPrefixes map[string]time.Time
 	idleConns      []*conn
@@ -135,7 +138,7 @@
 	for key, p := range t.peers {
 		p.mu.Lock()
 		if p.unanswered > 0 {
-			out[key.id] = gossiper.OpenWork{Unanswered: p.unanswered, Backlog: p.backlog}
+			out[key.id] = gossiper.OpenWork{Unanswered: p.unanswered, Backlog: p.backlog, Tokens: p.tokens}
 		}
 		p.mu.Unlock()
 	}
@@ -150,6 +153,8 @@
 	if now.Sub(p.reportedAt) < reportMaxAge {
 		b.Running, b.Waiting, b.Sent, b.Answered = p.running, p.waiting, p.sentSinceReport, p.doneSinceReport
 	}
+	b.Server.Slots = orDefault(s.Slots, p.slots)
+	b.Slowdown = p.speed.At(now)
 	return b, p.breaker.IsOpen(now)
 }
 
@@ -157,22 +162,25 @@
 func (p *peer) asEngine(s model.BackendServer, prefixKey string, others gossiper.OpenWork, now time.Time) (picker.Engine, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := picker.Engine{Server: s, Backlog: p.backlog + others.Backlog, Busy: p.unanswered + others.Unanswered}
+	e := picker.Engine{Server: s, Backlog: p.backlog + others.Backlog, Busy: p.unanswered + others.Unanswered, Tokens: p.tokens + others.Tokens}
 	if now.Sub(p.reportedAt) < reportMaxAge {
 		e.Busy = max(e.Busy, p.running+p.waiting+p.sentSinceReport-p.doneSinceReport)
 	}
+	e.Server.Slots = orDefault(s.Slots, p.slots)
+	e.Slowdown = p.speed.At(now)
 	at, ok := p.cachedPrefixes[prefixKey]
 	e.PrefixCached = ok && now.Sub(at) < cacheLifetime
 	return e, p.breaker.IsOpen(now)
 }
 
-// startRequest counts a sent request and adds the prefill time of its prompt to the backlog.
-func (p *peer) startRequest(prefillTime time.Duration, now time.Time) {
+// startRequest counts a sent request and the tokens that it holds, and adds the prefill time of its prompt to the backlog.
+func (p *peer) startRequest(prefillTime time.Duration, tokens model.Tokens, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.unanswered++
 	p.sentSinceReport++
 	p.backlog += prefillTime
+	p.tokens += tokens
 	p.lastUsed = now
 }
 
@@ -196,7 +204,7 @@
 	p.cachedPrefixes[prefixKey] = now
 }
 
-// finishAttempt counts the end of an attempt, once.
+// finishAttempt counts the end of an attempt, which held tokens, once.
 func (p *peer) finishAttempt(a *attempt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -205,27 +213,11 @@
 	}
 	a.finished = true
 	p.unanswered--
+	p.tokens -= a.call.heldTokens()
 	p.doneSinceReport++
 	p.lastUsed = now
 }
 
-// recordLoad stores the load reported by an answer: running requests, waiting requests, slots.
-func (p *peer) recordLoad(value string, now time.Time) {
-	running, rest, ok := strings.Cut(value, ",")
-	waiting, _, ok2 := strings.Cut(rest, ",")
-	if !ok || !ok2 {
-		return
-	}
-	r, err := strconv.Atoi(strings.TrimSpace(running))
-	w, err2 := strconv.Atoi(strings.TrimSpace(waiting))
-	if err != nil || err2 != nil || min(r, w) < 0 || max(r, w) > maxReported {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.running, p.waiting, p.reportedAt, p.sentSinceReport, p.doneSinceReport = r, w, now, 0, 0
-}
-
 // maySend reports whether the peer's breaker is closed and its last report does not say that its slots are taken.
 func (p *peer) maySend(slots int, now time.Time) bool {
 	p.mu.Lock()
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -107,6 +107,7 @@
 			continue
 		}
 		b, excluded := f.peers.get(s, now).asBackend(s, f.remoteWork(s.Backend, now), now)
+		b.RoundTrip = f.distances.roundTrip(s.Place, now)
 		in.Excluded[s.Backend] = excluded
 		in.Backends = append(in.Backends, b)
 	}
@@ -135,12 +136,14 @@
 func (f *Forwarder) chooseEngine(c *call, m model.ModelID, servers []model.BackendServer, now time.Time) (picker.EngineChoice, picker.EngineInput) {
 	in := picker.EngineInput{Self: f.cfg.Settings.Place, PrefixKey: c.prefixKey(m), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	in.PrefillTime, in.SharedPrefillTime = f.speeds.estimatePrefill(m, c.service.Engine, c.prompt)
+	in.Tokens, in.KVCapacity = c.heldTokens(), c.service.Engine.KVCapacity
 	if len(c.route.Models) > 1 {
 		in.SmallestModel = m == c.route.Models[0]
 		in.LargerModel = !in.SmallestModel
 	}
 	for _, s := range servers {
 		e, excluded := f.peers.get(s, now).asEngine(s, in.PrefixKey, f.remoteWork(s.Backend, now), now)
+		e.RoundTrip = f.distances.roundTrip(s.Place, now)
 		permission := f.cfg.Announcements.Check(s, now)
 		e.Limited = permission.Limited
 		if !permission.Allowed() {
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -78,7 +78,7 @@
 			last = model.Refuse(model.KindLeaving, "the entry stops before an answer would be complete: send the request again").WithRetry(stoppingRetry)
 			break
 		}
-		p.startRequest(c.prefillTime, now)
+		p.startRequest(c.prefillTime, c.heldTokens(), now)
 		c.attemptStart, c.attempt = now, p.startAttempt(c)
 		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
 		if p.removeBacklog(c.prefillTime); fail == nil {
@@ -267,7 +267,9 @@
 		}
 		c.failedAt[p.server.Version] = true
 	}
-	f.cfg.Versions.Observe(f.outcome(c, p, failed, now), now)
+	o := f.outcome(c, p, failed, now)
+	f.cfg.Versions.Observe(o, now)
+	f.observeSpeed(o, p, now)
 }
 
 func (f *Forwarder) outcome(c *call, p *peer, failed bool, now time.Time) Outcome {
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -42,8 +42,14 @@
 	Backlog time.Duration
 	// Busy is the number of requests that run or wait.
 	Busy int
+	// Tokens is the number of tokens that these requests hold, with the output still to come.
+	Tokens model.Tokens
 	// PrefixCached is true if the engine recently prefilled the shared parts of the prompt.
 	PrefixCached bool
+	// Slowdown stretches the prefill of the backlog and the prompt.
+	Slowdown Slowdown
+	// RoundTrip is the connect time to the engine's failure domain, 0 if it is not known.
+	RoundTrip time.Duration
 	// Limited is true if the engine takes only a limited number of requests a second.
 	Limited bool
 }
@@ -59,7 +65,9 @@
 	SmallestModel, LargerModel bool
 	// PrefillTime is the prefill time of the whole prompt, SharedPrefillTime that of its shared parts.
 	PrefillTime, SharedPrefillTime time.Duration
-	Excluded                       map[model.BackendID]bool
+	// Tokens is what the request would hold at an engine, KVCapacity what one of the engines can hold; 0 is unknown.
+	Tokens, KVCapacity model.Tokens
+	Excluded           map[model.BackendID]bool
 	// Barred engines must not get the request, even if all others are excluded.
 	Barred map[model.BackendID]bool
 }
@@ -93,9 +101,10 @@
 	})
 	preferredFound := false
 	reserved := reservedEngines(in)
+	memoryLimit := lowestMemoryRank(in)
 	busy, slots := 0, 0
 	for _, e := range engines {
-		if e.Server.State != model.BackendReady || in.Excluded[e.Server.Backend] || in.Barred[e.Server.Backend] {
+		if !in.isEligible(e) {
 			continue
 		}
 		best.Eligible++
@@ -108,6 +117,9 @@
 			busy += e.Busy
 			slots += e.Server.Slots
 		}
+		if memoryRank(e.Tokens, in.Tokens, in.KVCapacity) > memoryLimit {
+			continue
+		}
 		wait := expectedWait(e, in)
 		switch {
 		case mismatch && in.SmallestModel:
@@ -125,6 +137,11 @@
 	return best
 }
 
+// isEligible reports whether an engine may get the request.
+func (in EngineInput) isEligible(e Engine) bool {
+	return e.Server.State == model.BackendReady && !in.Excluded[e.Server.Backend] && !in.Barred[e.Server.Backend]
+}
+
 // reservedEngines returns the engines of each region that are reserved for the smallest models.
 // The choice depends only on the names of the available engines, so that entries that see the same
 // engines make the same choice.
@@ -152,12 +169,13 @@
 }
 
 func expectedWait(e Engine, in EngineInput) time.Duration {
-	wait := e.Backlog + in.PrefillTime + time.Duration(float64(fullBatchWait)*float64(e.Busy)/float64(max(e.Server.Slots, 1)))
+	prefill := e.Backlog + in.PrefillTime
 	if e.PrefixCached {
-		wait -= in.SharedPrefillTime
+		prefill -= in.SharedPrefillTime
 	}
+	wait := e.Slowdown.Stretch(prefill) + time.Duration(float64(fullBatchWait)*float64(e.Busy)/float64(max(e.Server.Slots, 1)))
 	if e.Server.ColdRemaining > 0 {
 		wait += coldStartWait
 	}
-	return wait + distanceCost(e.Server.Place, in.Self, domainWaitPenalty, regionWaitPenalty)
+	return wait + distanceWait(e.Server.Place, in.Self, e.RoundTrip)
 }
