Order prompts in an engine's batch by the request's rank, then by size

The rank in an engine's batch followed the prompt's length and model only. The most valuable requests, with 12,000 prompt tokens, were served worst under overload and the least urgent ones best.

Three ranks of three sizes now fill the ten places. Sizes are the expected prefill time of the tokens that the engine does not hold, as parts of the pause that the route allows its streams, so that the model's pace counts as measured. A prompt that takes longer than that pause goes behind the short prompts of the next rank. A resumed stream counts as short.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -260,8 +260,7 @@
 	}
 	h.Set(n.TimeLeft, strconv.FormatInt(max(c.deadline.Sub(now).Milliseconds(), 1), 10))
 	if c.service.Engine != nil {
-		large := len(c.route.Models) > 1 && c.model == c.route.Models[len(c.route.Models)-1]
-		h.Set(n.Priority, strconv.Itoa(admitter.PromptRank(admitter.PromptRankInput{LargestModel: large, PromptTokens: c.prompt.tokens})))
+		h.Set(n.Priority, strconv.Itoa(admitter.PromptRank(promptRankInput(c))))
 	}
 	if c.model != "" {
 		h.Set(n.Model, string(c.model))
