Record what is known of the free places when a backend server is chosen

Shares and admission need to know whether any eligible server has a free place, and how old the chosen server's report is. The other servers are looked at only if the chosen one has no free place. Nothing reads it yet.

--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -119,6 +119,7 @@
 		return nil, false
 	}
 	c.prefillTime, c.inFlight, c.expected = 0, choice.Busy, c.route.LatencyTarget
+	c.crowding = f.plainCrowding(choice, in, now)
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Float64("load", choice.Load).Int("open", choice.Eligible).Int("sent", c.sent).Msg("forwarder: placed")
 	return f.peers.get(choice.Server, now), true
@@ -167,6 +168,7 @@
 		c.prefillTime, c.uncachedTokens = in.PrefillTime-in.SharedPrefillTime, c.prompt.tokens-c.prompt.sharedTokens
 	}
 	c.inFlight = choice.Busy
+	c.crowding = f.engineCrowding(choice, in, now)
 	c.expected = choice.Wait + f.speeds.estimateAnswer(c.model, c.service.Engine, c.prompt.outputTokens)
 	c.uncontended = choice.Wait-c.prefillTime < uncontendedWait
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -60,6 +60,8 @@
 	failedAt map[model.VersionID]bool
 	// inFlight is the number of running and waiting requests at that backend server when it was chosen.
 	inFlight int
+	// crowding is what was known of the places when that backend server was chosen.
+	crowding crowding
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
 	uncachedTokens int
 	// needsNewConn requests a new connection after an idle one was dropped or was silent; redialled is set once the
