Decide whether to admit a request before it counts at the server that was chosen

The hook comes before the request takes a part of a server's limit or the trial after its rest, which a refused request would use up.

--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -16,6 +16,12 @@
 	candidates := f.candidates(c, now)
 	for {
 		p, ok := f.pickCandidate(c, candidates, now)
+		if ok {
+			// Before the request counts at the server: a refusal must not use up its limit, or the trial after its rest.
+			if c.notAdmitted = f.admit(c, now); c.notAdmitted != nil {
+				return nil, false
+			}
+		}
 		// Another request, or an answer, may have barred the server after the choice.
 		if !ok || f.cfg.Announcements.Take(p.server, now) {
 			return p, ok
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -62,6 +62,8 @@
 	inFlight int
 	// crowding is what was known of the places when that backend server was chosen.
 	crowding crowding
+	// notAdmitted is the refusal of a request that was not sent although a backend server may get it.
+	notAdmitted *model.Refusal
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
 	uncachedTokens int
 	// needsNewConn requests a new connection after an idle one was dropped or was silent; redialled is set once the
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -64,7 +64,9 @@
 		now := time.Now()
 		p, ok := f.pickAttempt(c, now)
 		if !ok {
-			if refusal := f.refuseBarred(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
+			if c.notAdmitted != nil {
+				last = c.notAdmitted
+			} else if refusal := f.refuseBarred(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
 				last = refusal
 			}
 			break
