Count refusals by reason and rank

The counters of refusals did not tell which ranks were refused. Ranks beyond the third count as one, so that the number of series stays bounded.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -399,6 +399,7 @@
 		status = http.StatusServiceUnavailable
 	}
 	f.cfg.Meter.Count("refused/"+string(r.Kind), 1)
+	f.cfg.Meter.Count(admissionMetric("refused_by_rank", string(r.Kind), c.rank), 1)
 	route := ""
 	if c.route != nil {
 		route = string(c.route.Route)
--- a/internal/forwarder/crowding.go
+++ b/internal/forwarder/crowding.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
@@ -46,3 +47,11 @@
 	defer p.mu.Unlock()
 	return p.reportedAt
 }
+
+// maxMetricRank is the last rank that metrics tell apart.
+const maxMetricRank = 3
+
+// admissionMetric returns the name of a counter by reason and rank.
+func admissionMetric(name, reason string, rank int) string {
+	return name + "/" + reason + "_rank" + strconv.Itoa(min(max(rank, 0), maxMetricRank))
+}
