Share scarce places among organisations by weighted max-min fairness

One organisation at six to nine times its usual rate made the requests of all others late, and servers of one service turned 2,911 requests away, whoever had sent them.

Entries now count, for each service and rank, the work that organisations ask for and the work that servers take, with a memory of 3 s, and tell each other once a second in a gossip topic while no place is free. What was taken is divided by max-min fairness; the part of an organisation's requests over its share goes behind the others of its rank in an engine's batch, and is refused at plain servers whose queues are half full. A quarter of the lower ranks' requests is placed as the highest rank, so that they do not starve. While places are free nothing is sent and every request stands as before. Weights have no name in the plan yet: all organisations weigh the same.

--- a/internal/admitter/prompt_rank.go
+++ b/internal/admitter/prompt_rank.go
@@ -13,6 +13,9 @@
 	Pause time.Duration
 	// Resumed means that the request continues a stream of which the caller already has a part.
 	Resumed bool
+	// OverShare means that the request is over its organisation's share, Promoted that it is placed like those of the
+	// highest rank.
+	OverShare, Promoted bool
 }
 
 const (
@@ -41,6 +44,13 @@
 // stream counts as short, because its caller already waits within the pause.
 func PromptRank(in PromptRankInput) int {
 	rank := min(max(in.Rank, 0), rankCount-1)
+	switch {
+	case in.OverShare:
+		// Behind all others of its rank.
+		rank++
+	case in.Promoted:
+		rank = 0
+	}
 	pause := in.Pause
 	if pause <= 0 {
 		pause = defaultPause
--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -17,6 +17,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/follower"
 	"github.com/bramleyhinge/bramleyhinge/internal/forwarder"
@@ -107,6 +108,7 @@
 		Self: model.Instance{Instance: s.Instance, Place: s.Place}, Members: func() []model.Instance { return gossip.Members() }, Meter: m, Log: log,
 	})
 	leaving := limiter.NewLeavingServers(limiter.LeavingServersConfig{Meter: m, Log: log})
+	shares := admitter.NewShares(admitter.SharesConfig{Meter: m, Log: log})
 	var f *forwarder.Forwarder
 	gossip = gossiper.New(gossiper.Config{
 		Self: s.Instance, Place: s.Place, Address: s.Gossip, Store: store, SharedKind: sharedObjectKind, Log: log,
@@ -116,6 +118,7 @@
 			{Broadcasts: quarantine.Broadcasts, OnBroadcast: quarantine.OnBroadcast},
 			{Broadcasts: limits.Broadcasts, OnBroadcast: limits.OnBroadcast},
 			{Broadcasts: leaving.Broadcasts, OnBroadcast: leaving.OnBroadcast},
+			{Broadcasts: shares.Broadcasts, OnBroadcast: shares.OnBroadcast},
 		},
 	})
 	platformState.OnSharedObject(func(o storer.Object) { gossip.UpdateMember(o, time.Now()) })
@@ -132,6 +135,7 @@
 			Resting: limiter.NewRestingServers(limiter.RestingServersConfig{Self: s.Instance, Meter: m, Log: log}),
 		},
 		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
+		Shares:     shares,
 		RemoteWork: gossip.RemoteWork,
 		Clock:      follower.BootClock, Meter: m, Log: log,
 	})
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -7,7 +7,10 @@
 )
 
 // admit returns the refusal of a call for which a backend server was chosen, or nil if it is to be sent there.
-func (*Forwarder) admit(c *call, _ time.Time) *model.Refusal {
+func (f *Forwarder) admit(c *call, now time.Time) *model.Refusal {
+	if refusal := f.refuseOverShare(c, now); refusal != nil {
+		return refusal
+	}
 	if !isUnsent(c) {
 		return nil
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	// Announcements keeps to what backend servers say of themselves in their answers.
 	Announcements limiter.Announcements
 	Cascade       chooser.CascadeConfig
+	// Shares divides scarce places among organisations; nil means that this entry divides them on its own view.
+	Shares *admitter.Shares
 	// RemoteWork returns the open work of other entries at a backend server; nil if it is not shared.
 	RemoteWork func(b model.BackendID, now time.Time) gossiper.OpenWork
 	// Clock returns the time since boot.
@@ -164,6 +166,9 @@
 
 // New returns a forwarder; Run starts it.
 func New(cfg Config) *Forwarder {
+	if cfg.Shares == nil {
+		cfg.Shares = admitter.NewShares(admitter.SharesConfig{Meter: cfg.Meter, Log: cfg.Log})
+	}
 	f := &Forwarder{
 		cfg:         cfg,
 		cascade:     chooser.NewCascade(cfg.Cascade),
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -64,6 +64,8 @@
 	crowding crowding
 	// notAdmitted is the refusal of a request that was not sent although a backend server may get it.
 	notAdmitted *model.Refusal
+	// share is the call's place among those of its service.
+	share shareClaim
 	// uncachedTokens is the number of prompt tokens that are not in its cache.
 	uncachedTokens int
 	// needsNewConn requests a new connection after an idle one was dropped or was silent; redialled is set once the
