--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -136,6 +136,7 @@
 	retryBudget *limiter.RetryBudget
 	peers       *peerTable
 	speeds      *speeds
+	pace        *pace
 	bodies      *semaphore.Weighted
 	reserved    map[string]bool
 	// stop is nil while the entry does not stop.
@@ -175,6 +176,7 @@
 		retryBudget: limiter.NewRetryBudget(cfg.Settings.RetryBudget.Ratio, cfg.Settings.RetryBudget.Window),
 		peers:       newPeerTable(),
 		speeds:      newSpeeds(),
+		pace:        newPace(),
 		bodies:      semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyMemoryDivisor),
 		reserved:    map[string]bool{},
 	}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -81,6 +81,7 @@
 		if p.removeBacklog(c.prefillTime); fail == nil {
 			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
 			f.takeShare(c, time.Now())
+			f.observeHold(c, time.Now())
 			fail = f.deliver(ctx, c, rep, out)
 		}
 		p.finishRequest(time.Now())
