--- a/internal/forwarder/eligible_test.go
+++ b/internal/forwarder/eligible_test.go
@@ -60,7 +60,7 @@
 			for d, ago := range c.Withdrawn {
 				evacuations.Withdrawn[d] = now.Add(-ago)
 			}
-			f := newForwarder(state, fakeQuarantine{}, allVersions{})
+			f := New(testConfig(state, fakeQuarantine{}, allVersions{}))
 			f.cfg.Announcements.Cold = coldServersOfOne()
 			for _, s := range servers {
 				if slices.Contains(c.ColdServers, s.Backend) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,6 +70,8 @@
 	// Announcements keeps to what backend servers say of themselves in their answers.
 	Announcements limiter.Announcements
 	Cascade       chooser.CascadeConfig
+	// Shares divides scarce places among organisations; nil means that this entry divides them on its own view.
+	Shares *admitter.Shares
 	// RemoteWork returns the open work of other entries at a backend server; nil if it is not shared.
 	RemoteWork func(b model.BackendID, now time.Time) gossiper.OpenWork
 	// Clock returns the time since boot.
@@ -140,6 +142,7 @@
 	speeds      *speeds
 	work        workMeans
 	distances   distances
+	pace        *pace
 	bodies      *semaphore.Weighted
 	answers     heldMemory
 	reserved    map[string]bool
@@ -177,12 +180,16 @@
 
 // New returns a forwarder; Run starts it.
 func New(cfg Config) *Forwarder {
+	if cfg.Shares == nil {
+		cfg.Shares = admitter.NewShares(admitter.SharesConfig{Meter: cfg.Meter, Log: cfg.Log})
+	}
 	f := &Forwarder{
 		cfg:         cfg,
 		cascade:     chooser.NewCascade(cfg.Cascade),
 		retryBudget: limiter.NewRetryBudget(cfg.Settings.RetryBudget.Ratio, cfg.Settings.RetryBudget.Window),
 		peers:       newPeerTable(),
 		speeds:      newSpeeds(),
+		pace:        newPace(),
 		bodies:      semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyMemoryDivisor),
 		reserved:    map[string]bool{},
 	}
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -20,6 +20,10 @@
 		if !ok {
 			return nil, false
 		}
+		// Before the request counts at the server: a refusal must not use up its limit, or the trial after its rest.
+		if c.notAdmitted = f.admit(c, now); c.notAdmitted != nil {
+			return nil, false
+		}
 		// Another request, or an answer, may have barred the server after the choice.
 		if f.cfg.Announcements.Take(s, now) {
 			return f.peers.get(s, now), true
@@ -119,6 +123,7 @@
 		return model.BackendServer{}, false
 	}
 	c.prefillTime, c.inFlight, c.expected = 0, choice.Busy, c.route.LatencyTarget
+	c.crowding = f.plainCrowding(choice, in, now)
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
 		Float64("load", choice.Load).Int("open", choice.Eligible).Int("sent", c.sent).Msg("forwarder: placed")
 	return choice.Server, true
@@ -169,6 +174,7 @@
 		c.prefillTime, c.uncachedTokens = in.PrefillTime-in.SharedPrefillTime, c.prompt.tokens-c.prompt.sharedTokens
 	}
 	c.inFlight = choice.Busy
+	c.crowding = f.engineCrowding(choice, in, now)
 	c.expected = choice.Wait + f.speeds.estimateAnswer(c.model, c.service.Engine, c.prompt.outputTokens)
 	c.uncontended = choice.Wait-c.prefillTime < uncontendedWait
 	f.cfg.Log.Info().Str("request", c.id).Str("backend", string(choice.Server.Backend)).Str("version", string(choice.Server.Version)).
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -69,7 +69,9 @@
 		now := time.Now()
 		p, ok := f.pickAttempt(c, now)
 		if !ok {
-			if refusal := f.refuseBarred(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
+			if c.notAdmitted != nil {
+				last = c.notAdmitted
+			} else if refusal := f.refuseBarred(c, now); refusal != nil && c.sent == 0 && c.failedDials == 0 {
 				last = refusal
 			}
 			break
@@ -83,6 +85,8 @@
 		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
 		if p.removeBacklog(c.prefillTime); fail == nil {
 			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
+			f.takeShare(c, time.Now())
+			f.observeHold(c, time.Now())
 			fail = f.deliver(ctx, c, rep, out)
 		}
 		p.finishAttempt(c.attempt, time.Now())
