--- a/internal/chooser/cascade.go
+++ b/internal/chooser/cascade.go
@@ -12,6 +12,8 @@
 	// Floors holds, by the rank of the request's priority, the confidence in percent below which an answer
 	// is dropped and a larger model is asked; ranks beyond the last use the last.
 	Floors []int
+	// Seed spreads the times at which entries change a learned decision; see AdaptiveCascade.
+	Seed uint64
 }
 
 // Cascade starts with the smallest model and escalates to the largest when the model itself reports a
@@ -67,21 +69,31 @@
 
 // Escalate returns the model to ask instead, or none if the answer is kept, and the reason.
 func (c Cascade) Escalate(in EscalationInput) (model.ModelID, string) {
+	floor, why := c.weak(in)
+	switch {
+	case why != "":
+		return "", why
+	case float64(in.AnswerDuration) > maxTimePart*float64(in.TimeLeft):
+		return "", fmt.Sprintf("a larger model's answer would take %v of the %v left", in.AnswerDuration.Round(time.Millisecond), in.TimeLeft.Round(time.Millisecond))
+	}
+	return in.Models[len(in.Models)-1], fmt.Sprintf("confidence %d is under %d", in.Confidence, floor)
+}
+
+// weak returns the floor that an answer is under, or the reason to keep it whatever a larger model would take.
+func (c Cascade) weak(in EscalationInput) (floor int, keep string) {
 	if len(in.Models) == 0 || in.Ran == in.Models[len(in.Models)-1] || in.Confidence < 0 {
-		return "", "no larger model can be asked"
+		return 0, "no larger model can be asked"
 	}
-	floor := c.floor(in)
+	floor = c.floor(in)
 	switch {
 	case in.Confidence >= floor:
-		return "", fmt.Sprintf("confidence %d reaches %d", in.Confidence, floor)
+		return floor, fmt.Sprintf("confidence %d reaches %d", in.Confidence, floor)
 	case in.Attempts <= 0:
-		return "", "no attempt is left"
+		return floor, "no attempt is left"
 	case !in.RetryAllowed:
-		return "", "the retry budget is used up"
-	case float64(in.AnswerDuration) > maxTimePart*float64(in.TimeLeft):
-		return "", fmt.Sprintf("a larger model's answer would take %v of the %v left", in.AnswerDuration.Round(time.Millisecond), in.TimeLeft.Round(time.Millisecond))
+		return floor, "the retry budget is used up"
 	}
-	return in.Models[len(in.Models)-1], fmt.Sprintf("confidence %d is under %d", in.Confidence, floor)
+	return floor, ""
 }
 
 // floor returns the confidence that an answer must reach. It falls as the utilisation of the larger
@@ -90,9 +102,14 @@
 	if len(c.cfg.Floors) == 0 {
 		return 0
 	}
-	part := 1 - (1-minFloorPart)*min(max((in.Utilisation-lowUtilisation)/(highUtilisation-lowUtilisation), 0), 1)
+	part := floorPart(in.Utilisation)
 	if in.Late {
 		part *= lateFloorPart
 	}
 	return int(part * float64(c.cfg.Floors[min(max(in.Rank, 0), len(c.cfg.Floors)-1)]))
 }
+
+// floorPart returns the part of the floor that applies at a utilisation of the larger model's engines.
+func floorPart(utilisation float64) float64 {
+	return 1 - (1-minFloorPart)*min(max((utilisation-lowUtilisation)/(highUtilisation-lowUtilisation), 0), 1)
+}
