Let entries start and follow up by the learned cascade

The forwarder chooses the first model and the one after a weak answer by AdaptiveCascade. The waits come from the engines that were chosen last for a model of that size, at most 500 ms ago, since a choice of an engine for each model would multiply the cost of a request. A caller's resumed stream keeps the rule of Cascade, since its beginning may come from another entry.

A confidence that is no percentage counts as none; on arm64, NaN was read as 0 and dropped the answer. It is counted, and logged once. The log line of the decision has the inputs, and metrics count starts and dropped answers by route and model.

TestLearnedCascade sends requests through an entry with and without earlier answers.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -130,12 +130,15 @@
 // Forwarder accepts callers' requests and forwards them to backend servers.
 type Forwarder struct {
 	cfg         Config
-	cascade     chooser.Cascade
+	cascade     *chooser.AdaptiveCascade
+	modelWaits  *modelWaits
 	retryBudget *limiter.RetryBudget
 	peers       *peerTable
 	speeds      *speeds
 	bodies      *semaphore.Weighted
 	reserved    map[string]bool
+	// unreadableConfidence logs the first confidence that is no percentage.
+	unreadableConfidence sync.Once
 	// stop is nil while the entry does not stop.
 	stop atomic.Pointer[stopPlan]
 	// running ends the requests that a stop cuts.
@@ -166,7 +169,8 @@
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
 		cfg:         cfg,
-		cascade:     chooser.NewCascade(cfg.Cascade),
+		cascade:     newCascade(cfg),
+		modelWaits:  newModelWaits(),
 		retryBudget: limiter.NewRetryBudget(cfg.Settings.RetryBudget.Ratio, cfg.Settings.RetryBudget.Window),
 		peers:       newPeerTable(),
 		speeds:      newSpeeds(),
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -159,6 +159,7 @@
 
 func (f *Forwarder) pickEngine(c *call, servers []model.BackendServer, now time.Time) (*peer, bool) {
 	choice, in := f.chooseEngine(c, c.model, servers, now)
+	f.modelWaits.observe(c, c.model, choice, in, now)
 	if !choice.Found {
 		return nil, false
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -68,6 +68,7 @@
 	sameAgain               *peer
 	// escalated is set once an answer was dropped for a larger model's, which was expected to end in time.
 	escalated bool
+	cascade   callCascade
 	// outwaited is set once an attempt went on for longer than a backend server may be silent.
 	outwaited bool
 	// attemptStart is when the current attempt started.
@@ -131,7 +132,7 @@
 	c.session = r.Header.Get(f.cfg.Names.Session)
 	c.lastEvent = r.Header.Get(f.cfg.Names.LastEventID)
 	if len(route.Models) > 0 {
-		c.model = f.cascade.First(route.Models)
+		c.model = f.chooseFirst(c, now)
 	}
 	release, refusal = f.readBody(c, r)
 	c.fingerprint = c.computeFingerprint()
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/acceptor"
@@ -277,18 +276,16 @@
 	if c.delivered || len(c.route.Models) == 0 || !rep.isSuccess() {
 		return false
 	}
-	confidence := -1
-	if v, err := strconv.ParseFloat(rep.Header.Get(f.cfg.Names.Confidence), 64); err == nil {
-		confidence = int(v)
-	}
+	confidence := f.confidence(rep)
 	now := time.Now()
 	f.observeOutcome(c, rep.peer, false, now)
 	if c.uncontended && c.service.Engine != nil {
 		f.speeds.observeHead(c.model, c.service.Engine, c.uncachedTokens, now.Sub(c.attemptStart))
 	}
 	larger := c.route.Models[len(c.route.Models)-1]
-	choice, _ := f.chooseEngine(c, larger, f.candidates(c, now), now)
-	next, reason := f.cascade.Escalate(chooser.EscalationInput{
+	choice, engines := f.chooseEngine(c, larger, f.candidates(c, now), now)
+	f.modelWaits.observe(c, larger, choice, engines, now)
+	step := f.chooseNext(c, chooser.EscalationInput{
 		Models: c.route.Models, Ran: c.model, Confidence: confidence, Rank: c.rank,
 		Attempts:       c.route.Attempts - c.sent,
 		RetryAllowed:   choice.Found && f.retryBudget.CanRetry(c.service.Service, retryReserveRatio, now),
@@ -296,14 +293,15 @@
 		AnswerDuration: choice.Wait + f.speeds.estimateAnswer(larger, c.service.Engine, c.prompt.outputTokens),
 		TimeLeft:       f.timeLeft(c, now),
 		Late:           now.Add(choice.Wait).Sub(c.start) > c.route.LatencyTarget,
-	})
-	f.cfg.Log.Info().Str("request", c.id).Str("model", string(c.model)).Int("confidence", confidence).Str("next", string(next)).Str("why", reason).
+	}, choice, now)
+	f.cfg.Log.Info().Str("request", c.id).Str("model", string(c.model)).Int("confidence", confidence).Str("next", string(step.Next)).Str("why", step.Reason).
 		Float64("fill", choice.Utilisation).Dur("wait", choice.Wait).Str("backend", string(rep.peer.server.Backend)).Dur("head", now.Sub(c.attemptStart)).
+		Int("rank", c.rank).EmbedObject(c.cascade).
 		Msg("forwarder: decided whether to escalate to a larger model")
-	if next == "" {
+	if step.Next == "" {
 		return false
 	}
 	f.cfg.Meter.Count("steps/"+string(c.route.Route), 1)
-	c.model, c.escalated = next, true
+	c.model, c.escalated = step.Next, true
 	return true
 }
