Let entries tell each other which answers sufficed

Entries add up what they hear, so a lost message loses its answers only; nothing is passed on. Messages with figures that no entry has are ignored.

--- a/internal/chooser/cascade_knowledge.go
+++ b/internal/chooser/cascade_knowledge.go
@@ -189,6 +189,7 @@
 	records []cascadeRecord
 	index   map[uint64]int
 	hand    int
+	shares  cascadeShares
 }
 
 func newCascadeKnowledge() *cascadeKnowledge {
@@ -251,12 +252,13 @@
 	}
 	expected := c.share()
 	c.add(suffices, 0)
+	k.shares.add(keys.hashes[0], position, followed, suffices, 0)
 	route.updateLearned()
 	if !*known {
 		// What the route expects is still too uncertain to tell what is different at more specific keys.
 		return
 	}
-	for _, hash := range keys.hashes[1:keys.n] {
+	for level, hash := range keys.hashes[1:keys.n] {
 		r := k.findOrAdd(hash, now)
 		c, prior, decides := &r.first[position], float64(priorAnswers), r.answers() >= minKeyAnswers
 		if followed {
@@ -267,6 +269,9 @@
 			expected = c.correct(expected, prior)
 		}
 		c.add(suffices, before)
+		if level+1 < sharedLevels {
+			k.shares.add(hash, position, followed, suffices, before)
+		}
 	}
 }
 
--- a/internal/chooser/cascade_replay_test.go
+++ b/internal/chooser/cascade_replay_test.go
@@ -22,6 +22,10 @@
 type replayCase struct {
 	Name string
 	Seed uint64
+	// Entries is the number of entries that the requests come to in turn, 1 if it is 0. Silent means that messages
+	// between them are lost.
+	Entries int
+	Silent  bool
 	// Requests and Interval are 20,000 and 100 ms if they are 0.
 	Requests int
 	Interval time.Duration
@@ -97,10 +101,14 @@
 // replay decides the requests by the learned rule or by today's.
 func (c replayCase) replay(requests []replayed, learned bool) replayTotals {
 	var t replayTotals
-	a := NewAdaptiveCascade(CascadeConfig{Floors: []int{replayFloor}, Seed: 7})
+	var entries []*AdaptiveCascade
+	for i := range max(c.Entries, 1) {
+		entries = append(entries, NewAdaptiveCascade(CascadeConfig{Floors: []int{replayFloor}, Seed: 1e9 * uint64(i)}))
+	}
 	lastStart := map[CascadeKeys]model.ModelID{}
 	now := time.Unix(1_800_000_000, 0)
-	for _, d := range requests {
+	for i, d := range requests {
+		a := entries[i%len(entries)]
 		now = now.Add(cmp.Or(c.Interval, defaultReplayInterval))
 		keys := NewCascadeKeys(d.request)
 		in := CascadeInput{
@@ -151,11 +159,25 @@
 			t.dropped++
 			ran = next
 		}
+		if !c.Silent {
+			broadcast(a, entries, now)
+		}
 	}
 	t.keys = len(lastStart)
 	return t
 }
 
+// broadcast sends the message of an entry, if it has one, to the others.
+func broadcast(from *AdaptiveCascade, entries []*AdaptiveCascade, now time.Time) {
+	for _, message := range from.Broadcasts(now) {
+		for _, e := range entries {
+			if e != from {
+				e.OnBroadcast(message, now)
+			}
+		}
+	}
+}
+
 func (t *replayTotals) observeStart(c StartChoice, today, last model.ModelID) {
 	if c.Learned {
 		t.learned++
--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -116,6 +116,10 @@
 			{Broadcasts: quarantine.Broadcasts, OnBroadcast: quarantine.OnBroadcast},
 			{Broadcasts: limits.Broadcasts, OnBroadcast: limits.OnBroadcast},
 			{Broadcasts: leaving.Broadcasts, OnBroadcast: leaving.OnBroadcast},
+			{
+				Broadcasts:  func(now time.Time) [][]byte { return f.CascadeBroadcasts(now) },
+				OnBroadcast: func(b []byte, now time.Time) { f.OnCascadeBroadcast(b, now) },
+			},
 		},
 	})
 	platformState.OnSharedObject(func(o storer.Object) { gossip.UpdateMember(o, time.Now()) })
--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -65,6 +65,12 @@
 	return first
 }
 
+// CascadeBroadcasts returns what other entries may learn from this entry's answers since the last message.
+func (f *Forwarder) CascadeBroadcasts(now time.Time) [][]byte { return f.cascade.Broadcasts(now) }
+
+// OnCascadeBroadcast learns from the answers of another entry.
+func (f *Forwarder) OnCascadeBroadcast(b []byte, now time.Time) { f.cascade.OnBroadcast(b, now) }
+
 // usesLearned reports whether a call's models may be compared by what was learned.
 func (f *Forwarder) usesLearned(c *call, now time.Time) bool {
 	return c.service.Engine != nil && c.lastEvent == "" && f.cascade.Learned(c.cascade.keys, len(c.route.Models), now)
