--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -132,8 +132,8 @@
 			Resting: limiter.NewRestingServers(limiter.RestingServersConfig{Self: s.Instance, Meter: m, Log: log}),
 		},
 		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
-		RemoteWork: gossip.RemoteWork,
-		Clock:      follower.BootClock, Meter: m, Log: log,
+		RemoteWork: gossip.RemoteWork, Entries: gossip.RegionEntries,
+		Clock: follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
 	var wg sync.WaitGroup
