--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -74,6 +74,8 @@
 	Shares *admitter.Shares
 	// RemoteWork returns the open work of other entries at a backend server; nil if it is not shared.
 	RemoteWork func(b model.BackendID, now time.Time) gossiper.OpenWork
+	// Entries returns the number of entries that share the backend servers; nil if this is the only one.
+	Entries func() int
 	// Clock returns the time since boot.
 	Clock func() time.Duration
 	Meter *meter.Meter
@@ -206,7 +208,9 @@
 }
 
 // OpenWork returns this entry's open work at each backend server.
-func (f *Forwarder) OpenWork() map[model.BackendID]gossiper.OpenWork { return f.peers.openWork() }
+func (f *Forwarder) OpenWork() map[model.BackendID]gossiper.OpenWork {
+	return f.peers.openWork(time.Now())
+}
 
 // SetRetryBudget changes the limits of the retry budget.
 func (f *Forwarder) SetRetryBudget(s model.RetryBudgetSettings) {
--- a/internal/picker/replay_test.go
+++ b/internal/picker/replay_test.go
@@ -40,6 +40,8 @@
 	SlowFactor         float64
 	// MaxBusiest bounds the work of the busiest engine, as a multiple of the mean.
 	MaxBusiest float64
+	// MaxWait bounds the wait for the first token of 95 in 100 prompts.
+	MaxWait time.Duration
 	// MaxFull bounds the tokens that an engine holds, as a multiple of the capacity.
 	MaxFull float64
 }
@@ -64,6 +66,14 @@
 	return r.waits[int(q*float64(len(r.waits)-1))]
 }
 
+func (r replayResult) mean() time.Duration {
+	sum := time.Duration(0)
+	for _, w := range r.waits {
+		sum += w
+	}
+	return sum / time.Duration(len(r.waits))
+}
+
 // isSlowed reports whether engine k is slowed at a time, and when that changes.
 func (l replayLoad) isSlowed(k int, at time.Duration) (bool, time.Duration) {
 	if l.SlowEvery == 0 {
@@ -116,6 +126,11 @@
 	own, told := make([][]view, l.Entries), make([][]view, l.Entries)
 	sum := make([]view, l.Engines)
 	speeds := make([][]SpeedEstimate, l.Entries)
+	type figure struct {
+		percent int
+		at      time.Time
+	}
+	newest, gossiped := make([]figure, l.Engines), make([]figure, l.Engines)
 	known := make([]map[string]bool, l.Entries)
 	for e := range own {
 		own[e], told[e], speeds[e], known[e] = make([]view, l.Engines), make([]view, l.Engines), make([]SpeedEstimate, l.Engines), map[string]bool{}
@@ -132,6 +147,7 @@
 						percent = int(100 * l.SlowFactor)
 					}
 					speeds[j.entry][k].Report(percent, start.Add(j.firstToken))
+					newest[k] = figure{percent, start.Add(j.firstToken)}
 				}
 			}
 			running[k] = slices.DeleteFunc(running[k], func(j replayJob) bool {
@@ -156,6 +172,7 @@
 					sum[k] = view{sum[k].backlog + v.backlog, sum[k].busy + v.busy, sum[k].tokens + v.tokens}
 				}
 			}
+			copy(gossiped, newest)
 			gossipAt += replayGossip
 		}
 		advance(now)
@@ -165,7 +182,7 @@
 				break
 			}
 		}
-		in := EngineInput{PrefillTime: kind.Prefill, SharedPrefillTime: kind.Shared, Tokens: kind.Tokens, KVCapacity: l.KVCapacity}
+		in := EngineInput{Draw: r.Uint64(), Entries: l.Entries, PrefillTime: kind.Prefill, SharedPrefillTime: kind.Shared, Tokens: kind.Tokens, KVCapacity: l.KVCapacity}
 		if kind.Prefixes > 0 {
 			in.PrefixKey = fmt.Sprint("prefix-", kind.Shared, int(math.Pow(float64(kind.Prefixes), r.Float64())))
 		}
@@ -173,7 +190,7 @@
 			v, o := own[entry][k], told[entry][k]
 			in.Engines = append(in.Engines, Engine{
 				Server: s, Backlog: max(v.backlog+sum[k].backlog-o.backlog, 0), Busy: max(v.busy+sum[k].busy-o.busy, 0), Tokens: max(v.tokens+sum[k].tokens-o.tokens, 0),
-				PrefixCached: known[entry][in.PrefixKey+string(s.Backend)], Slowdown: speeds[entry][k].At(start.Add(now)),
+				PrefixCached: known[entry][in.PrefixKey+string(s.Backend)], Slowdown: speeds[entry][k].With(gossiped[k].percent, gossiped[k].at).At(start.Add(now)),
 			})
 		}
 		k := index[EarliestFirstToken{}.Decide(in).Server.Backend]
