End a request whose body is not whole by its deadline

The read of a request's body had no deadline. A caller that sent half a body and stopped kept the memory that was reserved for it, and its request ran on, for as long as its connection was open.

The body is now read until the request's deadline, and refused as incomplete then. TestStalledBodyHoldsMemory failed before (still running half a second after the deadline, no answer) and passes now.

--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -104,7 +104,7 @@
 }
 
 // readRequest validates a request and reads its body; release frees the memory reserved for the body.
-func (f *Forwarder) readRequest(r *http.Request, now time.Time) (c *call, release func(), refusal *model.Refusal) {
+func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, now time.Time) (c *call, release func(), refusal *model.Refusal) {
 	release = func() {}
 	c = &call{id: r.Header.Get(f.cfg.Names.Request), start: now, method: r.Method, uri: r.RequestURI, host: r.Host, unchunked: !r.ProtoAtLeast(1, 1)}
 	c.plan = f.cfg.PlatformState.Plan()
@@ -136,7 +136,7 @@
 	if len(route.Models) > 0 {
 		c.model = f.cascade.First(route.Models)
 	}
-	release, refusal = f.readBody(c, r)
+	release, refusal = f.readBody(c, w, r)
 	c.fingerprint = c.computeFingerprint()
 	c.traits = c.computeTraits()
 	return c, release, refusal
@@ -263,8 +263,9 @@
 	return p
 }
 
-// readBody reads the whole body, so that retries can send it again.
-func (f *Forwarder) readBody(c *call, r *http.Request) (func(), *model.Refusal) {
+// readBody reads the whole body, so that retries can send it again. A body that is not whole by the request's deadline is
+// refused, since it holds memory for bodies.
+func (f *Forwarder) readBody(c *call, w http.ResponseWriter, r *http.Request) (func(), *model.Refusal) {
 	limit := int64(c.plan.Limits.Body)
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -285,6 +286,8 @@
 	if err := f.bodies.Acquire(ctx, reserved); err != nil {
 		return func() {}, model.Refuse(model.KindOverload, "too many bodies are held: try again").WithRetry(time.Second)
 	}
+	// An error means that the connection is closed, which the read reports.
+	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if size := int64(len(body)); size < reserved {
 		f.bodies.Release(reserved - size)
@@ -297,6 +300,8 @@
 	if err != nil {
 		return release, model.Refuse(model.KindIncompleteBody, "the body did not come whole: %v", err)
 	}
+	// The connection is read on, to notice when its caller leaves.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	c.body = body
 	return release, nil
 }
--- a/internal/forwarder/sending_test.go
+++ b/internal/forwarder/sending_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -131,3 +132,31 @@
 		}
 	}
 }
+
+// TestStalledBodyHoldsMemory guards against a caller that sends half a body and stops: the request went on without an
+// end, and the memory for bodies that it had reserved was missing to others.
+func TestStalledBodyHoldsMemory(t *testing.T) {
+	t.Parallel()
+	const timeout = 700 * time.Millisecond
+	b := &backends{t: t, replies: []string{"ok"}}
+	e := startEntry(t, &fakeState{plan: slowPlan(timeout), servers: b.start(1)})
+	c, err := net.Dial("tcp", e.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /safe/a HTTP/1.1\r\nHost: a.example\r\nId: request-1\r\nAuthorization: Key good\r\nContent-Length: 1000\r\n\r\nbody")
+	time.Sleep(timeout / 2)
+	if !e.endsWithin(timeout/2 + 500*time.Millisecond) {
+		t.Error("the request goes on half a second after its deadline")
+	}
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if diff := cmp.Diff([]int{http.StatusBadRequest, 0}, []int{resp.StatusCode, len(b.seen())}); diff != "" {
+		t.Errorf("status and arrivals (-want +got):\n%s", diff)
+	}
+}
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -38,7 +38,7 @@
 	if f.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
-	c, release, refusal := f.readRequest(r, now)
+	c, release, refusal := f.readRequest(w, r, now)
 	defer func() {
 		// The connections are closed by now, so that writes end.
 		c.writes.Wait()
