Tell answers that callers held up, and write down slow readers

An answer that broke off after its caller had held it up was logged as an attempt that did not run. It has a line and a metric of its own now, and the bytes held of answers are a metric.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -345,6 +345,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	f.cfg.Meter.SetGauge("answer_bytes_held", int(f.answers.used.Load()))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if err := f.cfg.Meter.WriteText(w); err != nil {
 		f.cfg.Log.Debug().Err(err).Msg("forwarder: writing the metrics failed")
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -153,7 +153,12 @@
 	case failureBroken, failureFailed, failureSilent:
 		c.mayHaveRun, backendFault = true, !fail.heldUp
 	}
-	if backendFault {
+	switch {
+	case fail.heldUp:
+		f.cfg.Meter.Count("attempts/held_up", 1)
+		f.cfg.Log.Info().Str("request", c.id).Str("backend", string(p.server.Backend)).AnErr("cause", fail.cause).
+			Msg("forwarder: the answer broke off after its caller held it up")
+	case backendFault:
 		breakerOpen := p.failed(fail.kind == failureUnreached, now)
 		if fail.kind == failureFailed {
 			f.observeOutcome(c, p, true, now)
@@ -161,7 +166,7 @@
 		f.cfg.Meter.Count("attempts_failed/"+string(fail.kind), 1)
 		f.cfg.Log.Warn().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fate", string(fail.kind)).AnErr("cause", fail.cause).
 			Bool("breaker", breakerOpen).Msg("forwarder: attempt failed")
-	} else if fail.kind != failureLeft {
+	case fail.kind != failureLeft:
 		f.cfg.Log.Info().Str("request", c.id).Str("backend", string(p.server.Backend)).Str("fate", string(fail.kind)).AnErr("cause", fail.cause).
 			Msg("forwarder: attempt did not run")
 	}
