--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -208,9 +208,7 @@
 }
 
 // OpenWork returns this entry's open work at each backend server.
-func (f *Forwarder) OpenWork() map[model.BackendID]gossiper.OpenWork {
-	return f.peers.openWork(time.Now())
-}
+func (f *Forwarder) OpenWork() map[model.BackendID]gossiper.OpenWork { return f.peers.openWork() }
 
 // SetRetryBudget changes the limits of the retry budget.
 func (f *Forwarder) SetRetryBudget(s model.RetryBudgetSettings) {
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -70,33 +70,6 @@
 	}
 }
 
-// TestEntriesShareSlowFigures guards against slowed servers that each entry knows only from its own few answers.
-func TestEntriesShareSlowFigures(t *testing.T) {
-	type figureCase struct {
-		Name string
-		// Report is what the server reported to one entry, Own what it reported to the other one after that.
-		Report, Own string
-		After       time.Duration
-		Slowed      bool
-	}
-	for _, c := range tester.Load[figureCase](t, "figures.yaml") {
-		t.Run(c.Name, func(t *testing.T) {
-			now, s := time.Unix(1000, 0), model.BackendServer{Backend: "b"}
-			one, other := newPeerTable(), newPeerTable()
-			one.get(s, now).recordLoad(c.Report, now)
-			now = now.Add(c.After)
-			p := other.get(s, now)
-			p.recordLoad(c.Own, now)
-			others := one.openWork(now)["b"]
-			b, _ := p.asBackend(s, others, now)
-			e, _ := p.asEngine(s, "", others, now)
-			if diff := cmp.Diff([]bool{c.Slowed, c.Slowed}, []bool{b.Slowdown.Stretch(time.Second) > time.Second, e.Slowdown.Stretch(time.Second) > time.Second}); diff != "" {
-				t.Errorf("server is slowed, as a plain one and as an engine (-want +got):\n%s", diff)
-			}
-		})
-	}
-}
-
 // TestKindsOfWorkAreBounded checks that routes and models that come and go do not fill the memory.
 func TestKindsOfWorkAreBounded(t *testing.T) {
 	var w workMeans
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -130,17 +130,15 @@
 	}
 }
 
-// openWork returns the open work at each peer, and the figures of those that are slowed.
-func (t *peerTable) openWork(now time.Time) map[model.BackendID]gossiper.OpenWork {
+// openWork returns the open work at each peer.
+func (t *peerTable) openWork() map[model.BackendID]gossiper.OpenWork {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	out := map[model.BackendID]gossiper.OpenWork{}
 	for key, p := range t.peers {
 		p.mu.Lock()
-		w := gossiper.OpenWork{Unanswered: p.unanswered, Backlog: p.backlog, Tokens: p.tokens}
-		w.SlowPercent, w.SlowAge = p.speed.SlowFigure(now)
-		if w.Unanswered > 0 || w.SlowPercent > 0 {
-			out[key.id] = w
+		if p.unanswered > 0 {
+			out[key.id] = gossiper.OpenWork{Unanswered: p.unanswered, Backlog: p.backlog, Tokens: p.tokens}
 		}
 		p.mu.Unlock()
 	}
@@ -156,7 +154,7 @@
 		b.Running, b.Waiting, b.Sent, b.Answered = p.running, p.waiting, p.sentSinceReport, p.doneSinceReport
 	}
 	b.Server.Slots = orDefault(s.Slots, p.slots)
-	b.Slowdown = p.speed.With(others.SlowPercent, now.Add(-others.SlowAge)).At(now)
+	b.Slowdown = p.speed.At(now)
 	return b, p.breaker.IsOpen(now)
 }
 
@@ -169,7 +167,7 @@
 		e.Busy = max(e.Busy, p.running+p.waiting+p.sentSinceReport-p.doneSinceReport)
 	}
 	e.Server.Slots = orDefault(s.Slots, p.slots)
-	e.Slowdown = p.speed.With(others.SlowPercent, now.Add(-others.SlowAge)).At(now)
+	e.Slowdown = p.speed.At(now)
 	at, ok := p.cachedPrefixes[prefixKey]
 	e.PrefixCached = ok && now.Sub(at) < cacheLifetime
 	return e, p.breaker.IsOpen(now)
--- a/internal/gossiper/codec.go
+++ b/internal/gossiper/codec.go
@@ -13,10 +13,9 @@
 const (
 	messageWork      = 1
 	messageBroadcast = 2
-	// messageWorkExtended is a messageWork whose rows also have the tokens and the last figure of a slowed server. Entries
-	// of earlier versions ignore it; it is sent only if there is such a value, so that all understand each other where no
-	// capacity is known and no server reports its speed.
-	messageWorkExtended = 255
+	// messageWorkTokens is a messageWork whose rows also have tokens. Entries of earlier versions ignore it; it is sent
+	// only if there are tokens, so that all understand each other where no capacity is known.
+	messageWorkTokens = 255
 )
 
 var (
@@ -25,18 +24,18 @@
 )
 
 // encodeWork writes the message type and a row for each backend server: its short ID, the unanswered requests, the
-// backlog in milliseconds and, in an extended message, the tokens, the figure of a slowed server and its age. It leaves out rows beyond maxMessageBytes; which
+// backlog in milliseconds and, if any request holds tokens, the tokens. It leaves out rows beyond maxMessageBytes; which
 // ones they are changes with each message.
 func encodeWork(work map[model.BackendID]OpenWork) []byte {
 	b := []byte{messageWork}
 	for _, w := range work {
-		if w.isExtended() {
-			b[0] = messageWorkExtended
+		if w.Tokens > 0 {
+			b[0] = messageWorkTokens
 			break
 		}
 	}
 	for id, w := range work {
-		row := appendRow(b, shortID(id), w, b[0] == messageWorkExtended)
+		row := appendRow(b, shortID(id), w, b[0] == messageWorkTokens)
 		if len(row) > maxMessageBytes {
 			break
 		}
@@ -45,24 +44,22 @@
 	return b
 }
 
-func appendRow(b []byte, id uint32, w OpenWork, extended bool) []byte {
+func appendRow(b []byte, id uint32, w OpenWork, tokens bool) []byte {
 	b = binary.BigEndian.AppendUint32(b, id)
 	b = binary.AppendUvarint(b, uint64(min(max(w.Unanswered, 0), maxUnanswered)))
 	b = binary.AppendUvarint(b, uint64(min(max(w.Backlog.Milliseconds(), 0), maxBacklogMillis)))
-	if extended {
+	if tokens {
 		b = binary.AppendUvarint(b, uint64(min(max(w.Tokens, 0), maxTokens)))
-		b = binary.AppendUvarint(b, uint64(min(max(w.SlowPercent, 0), maxSlowPercent)))
-		b = binary.AppendUvarint(b, uint64(min(max(w.SlowAge.Milliseconds(), 0), maxSlowAgeMillis)))
 	}
 	return b
 }
 
 func decodeWork(b []byte) (map[uint32]OpenWork, error) {
-	if len(b) == 0 || b[0] != messageWork && b[0] != messageWorkExtended {
+	if len(b) == 0 || b[0] != messageWork && b[0] != messageWorkTokens {
 		return nil, errMessageType
 	}
 	// The numbers of a row, in their order, with their largest values.
-	limits := []uint64{maxUnanswered, maxBacklogMillis, maxTokens, maxSlowPercent, maxSlowAgeMillis}
+	limits := []uint64{maxUnanswered, maxBacklogMillis, maxTokens}
 	if b[0] == messageWork {
 		limits = limits[:2]
 	}
@@ -74,7 +71,7 @@
 		}
 		id := binary.BigEndian.Uint32(b)
 		b = b[4:]
-		var row [5]uint64
+		var row [3]uint64
 		for i, limit := range limits {
 			v, n := binary.Uvarint(b)
 			if n <= 0 {
@@ -82,20 +79,15 @@
 			}
 			row[i], b = min(v, limit), b[n:]
 		}
-		out[id] = OpenWork{
-			Unanswered: int(row[0]), Backlog: time.Duration(row[1]) * time.Millisecond, Tokens: model.Tokens(row[2]),
-			SlowPercent: int(row[3]), SlowAge: time.Duration(row[4]) * time.Millisecond,
-		}
+		out[id] = OpenWork{Unanswered: int(row[0]), Backlog: time.Duration(row[1]) * time.Millisecond, Tokens: model.Tokens(row[2])}
 	}
 	return out, nil
 }
 
-// These bound the values in a message: more requests than an entry can hold, an hour, more tokens than an engine can
-// hold, work that takes a hundred times as long as usual, and a minute.
+// maxUnanswered, maxBacklogMillis and maxTokens bound the values in a message: more requests than an entry can hold, an
+// hour, and more tokens than an engine can hold.
 const (
 	maxUnanswered    = 1 << 20
 	maxBacklogMillis = 3_600_000
 	maxTokens        = 1 << 30
-	maxSlowPercent   = 10_000
-	maxSlowAgeMillis = 60_000
 )
--- a/internal/gossiper/codec_test.go
+++ b/internal/gossiper/codec_test.go
@@ -54,7 +54,7 @@
 	g := New(Config{Self: "e0", Place: model.Place{Region: "lake"}, SharedKind: "marks", Log: zerolog.Nop()})
 	now := time.Unix(1000, 0)
 	g.UpdateMember(storer.Object{Key: "marks/entry.e1", Value: []byte(`{"address":"10.1.0.1:7","region":"lake"}`)}, now)
-	want := OpenWork{Unanswered: 3, Backlog: 2 * time.Second, Tokens: 70_000, SlowPercent: 250, SlowAge: 120 * time.Millisecond}
+	want := OpenWork{Unanswered: 3, Backlog: 2 * time.Second, Tokens: 70_000}
 	b := encodeWork(map[model.BackendID]OpenWork{"b": want})
 	from := netip.MustParseAddrPort("10.1.0.1:7")
 	if err := g.handleMessage(b, from, now); err != nil {
@@ -69,40 +69,3 @@
 		t.Errorf("work (-want +got):\n%s", diff)
 	}
 }
-
-// TestNewestFigureCounts checks that of the figures that several entries tell of a server the newest one counts, with the
-// time since its message added to its age.
-func TestNewestFigureCounts(t *testing.T) {
-	type figureCase struct {
-		Name string
-		// Told lists what each entry tells, at a time before now.
-		Told []struct {
-			Before  time.Duration
-			Percent int
-			Age     time.Duration
-		}
-		WantPercent int
-		WantAge     time.Duration
-	}
-	for _, c := range tester.Load[figureCase](t, "figures.yaml") {
-		t.Run(c.Name, func(t *testing.T) {
-			g := New(Config{Self: "e0", Place: model.Place{Region: "lake"}, SharedKind: "marks", Log: zerolog.Nop()})
-			now := time.Unix(1000, 0)
-			for i, told := range c.Told {
-				address := fmt.Sprintf("10.1.0.%d:7", i+1)
-				value := fmt.Sprintf(`{"address":%q,"region":"lake"}`, address)
-				g.UpdateMember(storer.Object{Key: fmt.Sprint("marks/entry.e", i+1), Value: []byte(value)}, now.Add(-told.Before))
-				msg := encodeWork(map[model.BackendID]OpenWork{"b": {Unanswered: 1, SlowPercent: told.Percent, SlowAge: told.Age}})
-				if err := g.handleMessage(msg, netip.MustParseAddrPort(address), now.Add(-told.Before)); err != nil {
-					t.Fatal(err)
-				}
-			}
-			want := OpenWork{SlowPercent: c.WantPercent, SlowAge: c.WantAge}
-			got := g.RemoteWork("b", now)
-			got.Unanswered = 0
-			if diff := cmp.Diff(want, got); diff != "" {
-				t.Errorf("work (-want +got):\n%s", diff)
-			}
-		})
-	}
-}
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -51,20 +51,6 @@
 	Backlog time.Duration
 	// Tokens is the number of tokens that these requests hold at an engine of known capacity, with the output still to come.
 	Tokens model.Tokens
-	// SlowPercent is the last figure of a backend server that is slowed, the time that work takes in percent of the usual
-	// one, and SlowAge its age; 0 if none is known.
-	SlowPercent int
-	SlowAge     time.Duration
-}
-
-// isExtended reports whether the work has values that entries of earlier versions do not know.
-func (w OpenWork) isExtended() bool { return w.Tokens > 0 || w.SlowPercent > 0 }
-
-// addSlow takes over a figure with an age if it is newer.
-func (w *OpenWork) addSlow(percent int, age time.Duration) {
-	if percent > 0 && (w.SlowPercent == 0 || age < w.SlowAge) {
-		w.SlowPercent, w.SlowAge = percent, age
-	}
 }
 
 // Store reads and writes the objects that hold the entries' addresses.
@@ -234,7 +220,6 @@
 			sum.Unanswered += w.Unanswered
 			sum.Backlog += w.Backlog
 			sum.Tokens += w.Tokens
-			sum.addSlow(w.SlowPercent, w.SlowAge+max(now.Sub(m.lastHeard), 0))
 		}
 	}
 	return sum
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -198,16 +198,16 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Backlog: time.Second}, "b": {}}))
-	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Tokens: 12_000, SlowPercent: 250, SlowAge: time.Second}}))
+	f.Add(encodeWork(map[model.BackendID]OpenWork{"a": {Unanswered: 3, Tokens: 12_000}}))
 	f.Add([]byte{messageWork, 1, 2, 3})
-	f.Add([]byte{messageWorkExtended, 1, 2, 3, 4, 5, 6})
+	f.Add([]byte{messageWorkTokens, 1, 2, 3, 4, 5, 6})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		work, err := decodeWork(b)
 		if err != nil {
 			return
 		}
 		for _, w := range work {
-			if w.Unanswered < 0 || w.Backlog < 0 || w.Backlog > time.Hour || w.Tokens < 0 || w.Tokens > maxTokens || w.SlowPercent < 0 || w.SlowPercent > maxSlowPercent || w.SlowAge < 0 || w.SlowAge > time.Minute {
+			if w.Unanswered < 0 || w.Backlog < 0 || w.Backlog > time.Hour || w.Tokens < 0 || w.Tokens > maxTokens {
 				t.Errorf("message claims %+v", w)
 			}
 		}
--- a/internal/picker/replay_test.go
+++ b/internal/picker/replay_test.go
@@ -126,11 +126,6 @@
 	own, told := make([][]view, l.Entries), make([][]view, l.Entries)
 	sum := make([]view, l.Engines)
 	speeds := make([][]SpeedEstimate, l.Entries)
-	type figure struct {
-		percent int
-		at      time.Time
-	}
-	newest, gossiped := make([]figure, l.Engines), make([]figure, l.Engines)
 	known := make([]map[string]bool, l.Entries)
 	for e := range own {
 		own[e], told[e], speeds[e], known[e] = make([]view, l.Engines), make([]view, l.Engines), make([]SpeedEstimate, l.Engines), map[string]bool{}
@@ -147,7 +142,6 @@
 						percent = int(100 * l.SlowFactor)
 					}
 					speeds[j.entry][k].Report(percent, start.Add(j.firstToken))
-					newest[k] = figure{percent, start.Add(j.firstToken)}
 				}
 			}
 			running[k] = slices.DeleteFunc(running[k], func(j replayJob) bool {
@@ -172,7 +166,6 @@
 					sum[k] = view{sum[k].backlog + v.backlog, sum[k].busy + v.busy, sum[k].tokens + v.tokens}
 				}
 			}
-			copy(gossiped, newest)
 			gossipAt += replayGossip
 		}
 		advance(now)
@@ -190,7 +183,7 @@
 			v, o := own[entry][k], told[entry][k]
 			in.Engines = append(in.Engines, Engine{
 				Server: s, Backlog: max(v.backlog+sum[k].backlog-o.backlog, 0), Busy: max(v.busy+sum[k].busy-o.busy, 0), Tokens: max(v.tokens+sum[k].tokens-o.tokens, 0),
-				PrefixCached: known[entry][in.PrefixKey+string(s.Backend)], Slowdown: speeds[entry][k].With(gossiped[k].percent, gossiped[k].at).At(start.Add(now)),
+				PrefixCached: known[entry][in.PrefixKey+string(s.Backend)], Slowdown: speeds[entry][k].At(start.Add(now)),
 			})
 		}
 		k := index[EarliestFirstToken{}.Decide(in).Server.Backend]
--- a/internal/picker/speed.go
+++ b/internal/picker/speed.go
@@ -84,25 +84,6 @@
 	return true
 }
 
-// With returns the estimate with a figure that another entry was told at a time, if that is newer than its own. The
-// means stay as they are: entries tell each other only of servers that are slowed.
-func (e SpeedEstimate) With(percent int, at time.Time) SpeedEstimate {
-	if percent > 0 && percent <= maxPercent && at.After(e.figureAt) {
-		e.figure, e.figureAt = min(float64(percent)/usualPercent, maxSlowdown), at
-	}
-	return e
-}
-
-// SlowFigure returns the last figure and its age if it says that the server is slowed and is young enough to count for
-// other entries, and 0 otherwise.
-func (e SpeedEstimate) SlowFigure(now time.Time) (percent int, age time.Duration) {
-	age = max(now.Sub(e.figureAt), 0)
-	if age >= slowPeriod || e.figure <= 1+momentaryMargin {
-		return 0, 0
-	}
-	return int(e.figure * usualPercent), age
-}
-
 // Observe records that work took the given multiple of what such work takes at the servers of the service on average.
 func (e *SpeedEstimate) Observe(ratio float64, now time.Time) {
 	if e.figureAt.IsZero() || !(ratio > 0) {
@@ -112,7 +93,7 @@
 }
 
 // At returns the slowdown to be expected from now on.
-func (e SpeedEstimate) At(now time.Time) Slowdown {
+func (e *SpeedEstimate) At(now time.Time) Slowdown {
 	if e.figureAt.IsZero() {
 		return Slowdown{}
 	}
