--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -143,8 +143,8 @@
 		},
 		Cascade:    chooser.CascadeConfig{Floors: d.confidenceFloors},
 		Shares:     shares,
-		RemoteWork: gossip.RemoteWork, Entries: gossip.RegionEntries,
-		Clock: follower.BootClock, Meter: m, Log: log,
+		RemoteWork: gossip.RemoteWork,
+		Clock:      follower.BootClock, Meter: m, Log: log,
 	})
 	log.Info().Str("callers", s.Callers).Str("domain", string(s.Place.Domain)).Msg("direct: started")
 	var t tasks
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -74,8 +74,6 @@
 	Shares *admitter.Shares
 	// RemoteWork returns the open work of other entries at a backend server; nil if it is not shared.
 	RemoteWork func(b model.BackendID, now time.Time) gossiper.OpenWork
-	// Entries returns the number of entries that share the backend servers; nil if this is the only one.
-	Entries func() int
 	// Clock returns the time since boot.
 	Clock func() time.Duration
 	Meter *meter.Meter
--- a/internal/forwarder/pick.go
+++ b/internal/forwarder/pick.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
 	"github.com/bramleyhinge/bramleyhinge/internal/picker"
@@ -143,7 +141,6 @@
 func (f *Forwarder) chooseEngine(c *call, m model.ModelID, servers []model.BackendServer, now time.Time) (picker.EngineChoice, picker.EngineInput) {
 	in := picker.EngineInput{Self: f.cfg.Settings.Place, PrefixKey: c.prefixKey(m), Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{}}
 	in.PrefillTime, in.SharedPrefillTime = f.speeds.estimatePrefill(m, c.service.Engine, c.prompt)
-	in.Draw, in.Entries = c.draw(), f.entries()
 	in.Tokens, in.KVCapacity = c.heldTokens(), c.service.Engine.KVCapacity
 	if len(c.route.Models) > 1 {
 		in.SmallestModel = m == c.route.Models[0]
@@ -196,18 +193,6 @@
 	return f.cfg.RemoteWork(b, now)
 }
 
-// entries returns the number of entries that share the backend servers.
-func (f *Forwarder) entries() int {
-	if f.cfg.Entries == nil {
-		return 1
-	}
-	return f.cfg.Entries()
-}
-
-// draw returns a number that differs between requests, also if callers repeat an id, and that stays the same during the
-// request, so that estimates are of the engines which it gets.
-func (c *call) draw() uint64 { return xxhash.Sum64String(c.id) ^ uint64(c.start.UnixNano()) }
-
 // uncontendedWait is the wait below which a prompt is assumed not to queue for prefill.
 const uncontendedWait = 100 * time.Millisecond
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -195,19 +195,6 @@
 	return out
 }
 
-// RegionEntries returns the number of entries of the own region, this one included.
-func (g *Gossiper) RegionEntries() int {
-	g.mu.RLock()
-	defer g.mu.RUnlock()
-	n := 1
-	for _, m := range g.members {
-		if !m.crossRegion {
-			n++
-		}
-	}
-	return n
-}
-
 // RemoteWork returns the work that the other entries have open at a backend server.
 func (g *Gossiper) RemoteWork(b model.BackendID, now time.Time) OpenWork {
 	id := shortID(b)
--- a/internal/picker/engine.go
+++ b/internal/picker/engine.go
@@ -30,8 +30,8 @@
 	// down itself, a large model in a batch of small ones slows down all of them.
 	smallestOnUnreservedWait = 300 * time.Millisecond
 	largerOnReservedWait     = 900 * time.Millisecond
-	// waitTolerance is the gain in wait below which the first engine in the rendezvous order of a
-	// prefix is kept, because other entries send prompts with the same prefix to it.
+	// waitTolerance is the gain in wait below which the engine that comes earlier in the rendezvous
+	// order is kept, because other entries send prompts with the same prefix to it.
 	waitTolerance = 20 * time.Millisecond
 )
 
@@ -58,10 +58,6 @@
 type EngineInput struct {
 	Engines []Engine
 	Self    model.Place
-	// Draw is a random number that decides which engines the request may choose from, Entries the number of entries
-	// that share them.
-	Draw    uint64
-	Entries int
 	// PrefixKey identifies the shared parts of the prompt and the model; empty without shared parts.
 	PrefixKey string
 	// SmallestModel is true if the smallest of several models is to run, LargerModel if a larger
@@ -98,39 +94,54 @@
 // delays all prompts behind it, and prefilling a shared part again delays them as well.
 func (EarliestFirstToken) Decide(in EngineInput) EngineChoice {
 	best := EngineChoice{}
-	candidates := listCandidates(&in)
-	best.Eligible = len(candidates)
+	var bestWait time.Duration
+	engines := slices.Clone(in.Engines)
+	slices.SortFunc(engines, func(a, b Engine) int {
+		return cmp.Compare(xxhash.Sum64String(in.PrefixKey+"\x00"+string(b.Server.Backend)), xxhash.Sum64String(in.PrefixKey+"\x00"+string(a.Server.Backend)))
+	})
+	preferredFound := false
+	reserved := reservedEngines(in)
+	memoryLimit := lowestMemoryRank(in)
 	busy, slots := 0, 0
-	for _, c := range candidates {
-		if !c.class.mismatch && c.class.ownRegion {
-			busy += c.Busy
-			slots += c.Server.Slots
+	for _, e := range engines {
+		if !in.isEligible(e) {
+			continue
 		}
-	}
-	best.Utilisation = float64(busy) / float64(max(slots, 1))
-	bestCost := time.Duration(0)
-	for _, c := range drawn(candidates, in.Entries) {
-		cached := c.PrefixCached || c.preferred
-		wait := expectedWait(c.Engine, cached, &in)
+		best.Eligible++
+		mismatch := in.SmallestModel && !reserved[e.Server.Backend] || in.LargerModel && reserved[e.Server.Backend]
+		if !preferredFound && !mismatch && !e.Limited && (in.LargerModel || e.Server.Place.Region == in.Self.Region) {
+			// Other entries send prompts with the same shared parts to this engine as well.
+			preferredFound, e.PrefixCached = true, in.PrefixKey != ""
+		}
+		if !mismatch && e.Server.Place.Region == in.Self.Region {
+			busy += e.Busy
+			slots += e.Server.Slots
+		}
+		if memoryRank(e.Tokens, in.Tokens, in.KVCapacity) > memoryLimit {
+			continue
+		}
+		wait := expectedWait(e, in)
 		switch {
-		case c.class.mismatch && in.SmallestModel:
+		case mismatch && in.SmallestModel:
 			wait += smallestOnUnreservedWait
-		case c.class.mismatch:
+		case mismatch:
 			wait += largerOnReservedWait
 		}
-		cost := wait
-		if c.preferred {
-			// Other entries send prompts with the same shared parts to this engine as well.
-			cost -= waitTolerance
-		}
-		if !best.Found || cost < bestCost {
-			bestCost = cost
-			best.Server, best.Found, best.PrefixCached, best.Wait, best.Busy = c.Server, true, cached, wait, c.Busy
+		// The engines are in rendezvous order, so that entries without cache information agree.
+		if !best.Found || wait < bestWait-waitTolerance {
+			bestWait = wait
+			best.Server, best.Found, best.PrefixCached, best.Wait, best.Busy = e.Server, true, e.PrefixCached, wait, e.Busy
 		}
 	}
+	best.Utilisation = float64(busy) / float64(max(slots, 1))
 	return best
 }
 
+// isEligible reports whether an engine may get the request.
+func (in EngineInput) isEligible(e Engine) bool {
+	return e.Server.State == model.BackendReady && !in.Excluded[e.Server.Backend] && !in.Barred[e.Server.Backend]
+}
+
 // reservedEngines returns the engines of each region that are reserved for the smallest models.
 // The choice depends only on the names of the available engines, so that entries that see the same
 // engines make the same choice.
@@ -157,9 +168,9 @@
 	return reserved
 }
 
-func expectedWait(e *Engine, cached bool, in *EngineInput) time.Duration {
+func expectedWait(e Engine, in EngineInput) time.Duration {
 	prefill := e.Backlog + in.PrefillTime
-	if cached {
+	if e.PrefixCached {
 		prefill -= in.SharedPrefillTime
 	}
 	wait := e.Slowdown.Stretch(prefill) + time.Duration(float64(fullBatchWait)*float64(e.Busy)/float64(max(e.Server.Slots, 1)))
--- a/internal/picker/memory.go
+++ b/internal/picker/memory.go
@@ -22,30 +22,17 @@
 	return 1 + int(over*memorySteps/capacity)
 }
 
-// sharedReserve is the part of the capacity that is kept free for what other entries have sent since the last gossip.
-const sharedReserve = 1.0 / memorySteps
-
-// usableCapacity returns the capacity up to which engines count as having room.
-func (in *EngineInput) usableCapacity() model.Tokens {
-	if in.Entries <= 1 {
-		return in.KVCapacity
-	}
-	return in.KVCapacity - model.Tokens(sharedReserve*float64(in.KVCapacity))
-}
-
 // lowestMemoryRank returns the lowest rank of the engines that may get the request.
-func lowestMemoryRank(in *EngineInput) int {
+func lowestMemoryRank(in EngineInput) int {
 	if in.KVCapacity <= 0 {
 		return 0
 	}
 	lowest, found := 0, false
-	capacity := in.usableCapacity()
-	for i := range in.Engines {
-		e := &in.Engines[i]
+	for _, e := range in.Engines {
 		if !in.isEligible(e) {
 			continue
 		}
-		if rank := memoryRank(e.Tokens, in.Tokens, capacity); !found || rank < lowest {
+		if rank := memoryRank(e.Tokens, in.Tokens, in.KVCapacity); !found || rank < lowest {
 			lowest, found = rank, true
 		}
 	}
