Evacuate domains in the soak with content that leaves the store's answers readable

Its content was an unmatched bracket, which the stand-in wrote into its answers as it was, so that no entry could read any of them; a store that holds JSON cannot send that. The contents are odd in other ways now.

--- a/internal/soaker/domains.go
+++ b/internal/soaker/domains.go
@@ -68,8 +68,8 @@
 	}
 	s.domainMu.Lock()
 	defer s.domainMu.Unlock()
-	// Only the name of the object counts.
-	s.setEvacuated(zone, []string{"{}", "[", "null"}[inj.Pick%3])
+	// Only the name of the object counts. Brackets that do not match would break the store's whole answer instead.
+	s.setEvacuated(zone, []string{"{}", "nul", `[1e999, "\xff"]`}[inj.Pick%3])
 	from := time.Now()
 	sleep(ctx, inj.Length)
 	to := time.Now()
