Replay prompts with shared segments through four policies

Nothing showed what the choice of an engine by its prefix cache gains against its cost in balance. Prefixes replays seeded prompts (first segments, documents with Zipf-like popularity, sessions whose turns reach other entries) through the decision code of 6 to 28 entries, for the policies none, hash, the previous one and the one in use. PrefixCost reports the real time of a decision.

--- a/internal/cli/measure.go
+++ b/internal/cli/measure.go
@@ -19,6 +19,8 @@
 	{"rollouts", measurer.Rollouts},
 	{"servers", measurer.Servers},
 	{"affinity", measurer.Affinity},
+	{"prefixes", measurer.Prefixes},
+	{"prefixcost", measurer.PrefixCost},
 	{"admission", measurer.Admission},
 	{"limits", measurer.Limits},
 	{"retries", measurer.Retries},
--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -10,7 +10,7 @@
 // TestTargets compares each figure of the measurements that do not depend on real time with its
 // target.
 func TestTargets(t *testing.T) {
-	for _, run := range []func(Scale) Section{Servers, Affinity, Admission, Limits, Retries} {
+	for _, run := range []func(Scale) Section{Servers, Affinity, Prefixes, Admission, Limits, Retries} {
 		s := run(1)
 		t.Run(s.Title, func(t *testing.T) {
 			for _, r := range s.Rows {
