--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -112,8 +112,7 @@
 		wait := f.modelWait(c, m, now)
 		o := chooser.ModelOption{Model: m, Cost: c.service.Engine.Costs[m], Answer: neverAnswers}
 		if wait.found {
-			whole, shared := f.speeds.estimatePrefill(m, c.service.Engine, c.prompt)
-			o.Wait = wait.queue + whole - shared
+			o.Wait = wait.queue + f.speeds.estimatePrefill(m, c.service.Engine, c.prompt.withoutShared())
 			o.Answer = o.Wait + f.speeds.estimateAnswer(m, c.service.Engine, c.prompt.outputTokens)
 		}
 		in.Options = append(in.Options, o)
@@ -155,10 +154,7 @@
 
 // observe records the wait from the choice of an engine for a model of a call.
 func (w *modelWaits) observe(c *call, m model.ModelID, choice picker.EngineChoice, in picker.EngineInput, now time.Time) modelWait {
-	prefill := in.PrefillTime
-	if choice.PrefixCached {
-		prefill -= in.SharedPrefillTime
-	}
+	prefill := in.PrefillTime - in.CachedTime(choice.CachedTokens)
 	wait := modelWait{at: now, found: choice.Found, queue: max(choice.Wait-prefill, 0), utilisation: choice.Utilisation}
 	if len(c.route.Models) < 2 {
 		return wait
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/acceptor"
 	"github.com/bramleyhinge/bramleyhinge/internal/admitter"
+	"github.com/bramleyhinge/bramleyhinge/internal/cacher"
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
 	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/limiter"
@@ -144,6 +145,7 @@
 	work        workMeans
 	distances   distances
 	pace        *pace
+	cacher      *cacher.Cacher
 	bodies      *semaphore.Weighted
 	answers     heldMemory
 	reserved    map[string]bool
@@ -194,6 +196,7 @@
 		peers:       newPeerTable(),
 		speeds:      newSpeeds(),
 		pace:        newPace(),
+		cacher:      cacher.New(),
 		bodies:      semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyMemoryDivisor),
 		reserved:    map[string]bool{},
 	}
--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -20,8 +20,6 @@
 	sweepInterval = time.Second
 	// reportMaxAge is how long a load report is used; the reported load lasts about as long.
 	reportMaxAge = 2 * time.Second
-	// cacheLifetime is how long an engine is assumed to keep the shared prefix of a prompt in its cache.
-	cacheLifetime = 15 * time.Second
 )
 
 // peerKey identifies one incarnation of a backend server at one address.
@@ -55,11 +53,9 @@
 	// backlog is the estimated prefill time of the prompts that were sent and are not answered yet.
 	backlog time.Duration
 	// tokens is the number of tokens that the requests hold which are not finished.
-	tokens model.Tokens
-	// cachedPrefixes maps a shared prompt prefix to the time when the engine last prefilled it.
-	cachedPrefixes map[string]time.Time
-	idleConns      []*conn
-	lastUsed       time.Time
+	tokens    model.Tokens
+	idleConns []*conn
+	lastUsed  time.Time
 	// unproven holds the attempts that are suspects if the backend server crashes.
 	unproven []*attempt
 }
@@ -116,11 +112,6 @@
 			}
 		}
 		p.idleConns = usable
-		for prefixKey, at := range p.cachedPrefixes {
-			if now.Sub(at) > cacheLifetime {
-				delete(p.cachedPrefixes, prefixKey)
-			}
-		}
 		p.dropOldAttempts(now)
 		forget := p.unanswered == 0 && len(p.idleConns) == 0 && now.Sub(p.lastUsed) > peerIdleTimeout
 		p.mu.Unlock()
@@ -159,7 +150,7 @@
 }
 
 // asEngine returns the peer as input for the choice of an engine, and whether its breaker is open.
-func (p *peer) asEngine(s model.BackendServer, prefixKey string, others gossiper.OpenWork, now time.Time) (picker.Engine, bool) {
+func (p *peer) asEngine(s model.BackendServer, others gossiper.OpenWork, now time.Time) (picker.Engine, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := picker.Engine{Server: s, Backlog: p.backlog + others.Backlog, Busy: p.unanswered + others.Unanswered, Tokens: p.tokens + others.Tokens}
@@ -168,8 +159,6 @@
 	}
 	e.Server.Slots = orDefault(s.Slots, p.slots)
 	e.Slowdown = p.speed.At(now)
-	at, ok := p.cachedPrefixes[prefixKey]
-	e.PrefixCached = ok && now.Sub(at) < cacheLifetime
 	return e, p.breaker.IsOpen(now)
 }
 
@@ -191,19 +180,6 @@
 	p.backlog = max(0, p.backlog-prefillTime)
 }
 
-// recordCachedPrefix records that the engine prefilled a shared prefix.
-func (p *peer) recordCachedPrefix(prefixKey string, now time.Time) {
-	if prefixKey == "" {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cachedPrefixes == nil {
-		p.cachedPrefixes = map[string]time.Time{}
-	}
-	p.cachedPrefixes[prefixKey] = now
-}
-
 // finishAttempt counts the end of an attempt, which held tokens, once.
 func (p *peer) finishAttempt(a *attempt, now time.Time) {
 	p.mu.Lock()
--- a/internal/forwarder/pick_test.go
+++ b/internal/forwarder/pick_test.go
@@ -38,6 +38,6 @@
 	plan := testPlan()
 	return f, &call{
 		id: "request-1", start: time.Now(), deadline: time.Now().Add(time.Hour), route: &plan.Routes[0], service: plan.Services["engines"], org: "mill",
-		model: "small", prompt: prompt{tokens: 900, outputTokens: 40, sharedPrefix: "p", sharedTokens: 400}, tried: map[model.BackendID]bool{},
+		model: "small", prompt: prompt{tokens: 900, outputTokens: 40, sharedTokens: 400}, tried: map[model.BackendID]bool{},
 	}
 }
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -80,10 +80,11 @@
 			break
 		}
 		p.startRequest(c.prefillTime, c.heldTokens(), now)
+		recordHead := f.sendPrompt(c, p, now)
 		c.attemptStart, c.attempt = now, p.startAttempt(c)
 		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
+		recordHead(fail == nil && rep.isSuccess(), time.Now())
 		if p.removeBacklog(c.prefillTime); fail == nil {
-			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
 			f.takeShare(c, time.Now())
 			f.observeHold(c, time.Now())
 			fail = f.deliver(ctx, c, rep, out)
--- a/internal/forwarder/tokens_test.go
+++ b/internal/forwarder/tokens_test.go
@@ -36,7 +36,7 @@
 			if diff := cmp.Diff(c.Want, f.OpenWork()["b"].Tokens); diff != "" {
 				t.Errorf("tokens that other entries are told of (-want +got):\n%s", diff)
 			}
-			e, _ := p.asEngine(s, "", gossiper.OpenWork{Tokens: 5}, now)
+			e, _ := p.asEngine(s, gossiper.OpenWork{Tokens: 5}, now)
 			if diff := cmp.Diff(c.Want+5, e.Tokens); diff != "" {
 				t.Errorf("tokens at the engine (-want +got):\n%s", diff)
 			}
--- a/internal/picker/bench_test.go
+++ b/internal/picker/bench_test.go
@@ -12,8 +12,8 @@
 // models, which is the costliest case.
 func BenchmarkEarliestFirstToken(b *testing.B) {
 	in := EngineInput{
-		Self: model.Place{Region: "r0", Domain: "d0"}, PrefixKey: "part\x00large", LargerModel: true,
-		PrefillTime: 100 * time.Millisecond, SharedPrefillTime: 60 * time.Millisecond, Tokens: 12_000, KVCapacity: 570_000,
+		Self: model.Place{Region: "r0", Domain: "d0"}, LargerModel: true,
+		PrefillTime: 100 * time.Millisecond, PromptTokens: 2000, Prefixes: []Prefix{{Key: 7, Tokens: 1200, Share: 0.01}}, Tokens: 12_000, KVCapacity: 570_000,
 		Excluded: map[model.BackendID]bool{}, Barred: map[model.BackendID]bool{},
 	}
 	for i := range 52 {
--- a/internal/picker/memory.go
+++ b/internal/picker/memory.go
@@ -28,7 +28,8 @@
 		return 0
 	}
 	lowest, found := 0, false
-	for _, e := range in.Engines {
+	for i := range in.Engines {
+		e := &in.Engines[i]
 		if !in.isEligible(e) {
 			continue
 		}
--- a/internal/picker/replay_test.go
+++ b/internal/picker/replay_test.go
@@ -7,6 +7,9 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/cacher"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -165,31 +168,39 @@
 				break
 			}
 		}
-		in := EngineInput{PrefillTime: kind.Prefill, SharedPrefillTime: kind.Shared, Tokens: kind.Tokens, KVCapacity: l.KVCapacity}
+		// Tokens of a prompt count in microseconds of its prefill.
+		shared := model.Tokens(kind.Shared.Microseconds())
+		in := EngineInput{PrefillTime: kind.Prefill, PromptTokens: model.Tokens(kind.Prefill.Microseconds()), Tokens: kind.Tokens, KVCapacity: l.KVCapacity}
+		prefixKey := ""
 		if kind.Prefixes > 0 {
-			in.PrefixKey = fmt.Sprint("prefix-", kind.Shared, int(math.Pow(float64(kind.Prefixes), r.Float64())))
+			prefixKey = fmt.Sprint("prefix-", kind.Shared, int(math.Pow(float64(kind.Prefixes), r.Float64())))
+			in.Prefixes = []Prefix{{Key: cacher.Key(xxhash.Sum64String(prefixKey)), Tokens: shared, Share: kind.Share / float64(kind.Prefixes)}}
 		}
 		for k, s := range servers {
 			v, o := own[entry][k], told[entry][k]
+			held := model.Tokens(0)
+			if known[entry][prefixKey+string(s.Backend)] {
+				held = shared
+			}
 			in.Engines = append(in.Engines, Engine{
 				Server: s, Backlog: max(v.backlog+sum[k].backlog-o.backlog, 0), Busy: max(v.busy+sum[k].busy-o.busy, 0), Tokens: max(v.tokens+sum[k].tokens-o.tokens, 0),
-				PrefixCached: known[entry][in.PrefixKey+string(s.Backend)], Slowdown: speeds[entry][k].At(start.Add(now)),
+				CachedTokens: held, Slowdown: speeds[entry][k].At(start.Add(now)),
 			})
 		}
 		k := index[EarliestFirstToken{}.Decide(in).Server.Backend]
 		j := replayJob{entry: entry, estimate: kind.Prefill, tokens: kind.Tokens}
 		prefill := kind.Prefill
-		if in.PrefixKey != "" {
-			if in.Engines[k].PrefixCached {
+		if prefixKey != "" {
+			if in.Engines[k].CachedTokens > 0 {
 				j.estimate -= kind.Shared
 			}
 			if cached[k] == nil {
 				cached[k] = map[string]bool{}
 			}
-			if cached[k][in.PrefixKey] {
+			if cached[k][prefixKey] {
 				prefill -= kind.Shared
 			}
-			cached[k][in.PrefixKey], known[entry][in.PrefixKey+string(servers[k].Backend)] = true, true
+			cached[k][prefixKey], known[entry][prefixKey+string(servers[k].Backend)] = true, true
 		}
 		free[k] = l.process(k, max(free[k], now), prefill)
 		work[k] += prefill
