--- a/internal/admitter/prompt_rank.go
+++ b/internal/admitter/prompt_rank.go
@@ -21,14 +21,18 @@
 const (
 	// rankCount is the number of ranks that are told apart; lower ones count as the last of them.
 	rankCount = 3
-	// sizeCount is the number of sizes within a rank. Three ranks of three sizes and a last place for prompts that are
-	// longer than any of them fill the ten ranks that engines accept.
-	sizeCount = 3
 	// maxRank is the last rank that engines accept.
 	maxRank = 9
-	// shortPauses and mediumPauses are the longest prefill of the first two sizes as parts of the pause: a stream keeps
-	// to its pause if the engine takes in eight short prompts, or two medium ones, between two of its events.
-	shortPauses, mediumPauses = 8, 2
+	// rankPlaces is the number of sizes that a rank of urgency is worth.
+	rankPlaces = 2
+	// shortPauses is how many short prompts an engine takes in between two events of a stream that keeps to its pause;
+	// each further size takes sizeGrowth times as long.
+	shortPauses, sizeGrowth = 8, 2.5
+	// maxSize is the last size.
+	maxSize = 5
+	// overSharePlaces is how many places a request of an organisation over its share goes back: behind the last rank's
+	// prompts of its size.
+	overSharePlaces = rankPlaces*(rankCount-1) + 1
 	// defaultPause applies to routes that allow streams no certain pause; it is the middle of the usual 0.8 to 1.2 s.
 	defaultPause = time.Second
 )
@@ -37,33 +41,34 @@
 // requests first and preempt the others when memory runs out, and read prompts in chunks between the tokens of running
 // streams.
 //
-// It is made for an overload in which the most valuable requests have long prompts: ranked by length alone, they were
-// served worst and the least urgent requests best. The request's rank therefore comes first, and within a rank the
-// shorter prefill. A prompt whose prefill takes longer than the pause that streams may make could stall them, and delay
-// all shorter prompts of the next rank, whoever sent it: it goes behind the short prompts of the next rank. A resumed
-// stream counts as short, because its caller already waits within the pause.
+// It is made for an overload in which the most valuable requests have long prompts. Ranked by length alone, they are
+// served worst and the least urgent requests best; ranked by urgency first, each holds up all shorter prompts of the lower
+// ranks, most of which are late then. So urgency and size count together: a less urgent prompt goes first only if it takes
+// a sixth of the time or less for each rank between them. A prompt that takes longer than the pause which streams may make
+// could stall them, whoever sent it; it goes behind the short ones of the next rank. A resumed stream counts as short,
+// because its caller already waits within the pause.
 func PromptRank(in PromptRankInput) int {
-	rank := min(max(in.Rank, 0), rankCount-1)
-	switch {
-	case in.OverShare:
-		// Behind all others of its rank.
-		rank++
-	case in.Promoted:
-		rank = 0
+	place := rankPlaces * min(max(in.Rank, 0), rankCount-1)
+	if in.Promoted {
+		place = 0
 	}
-	pause := in.Pause
+	if in.OverShare {
+		place += overSharePlaces
+	}
+	if !in.Resumed {
+		place += promptSize(in.Prefill, in.Pause)
+	}
+	return min(place, maxRank)
+}
+
+// promptSize returns the size of a prompt by its prefill, 0 for short ones.
+func promptSize(prefill, pause time.Duration) int {
 	if pause <= 0 {
 		pause = defaultPause
 	}
 	size := 0
-	switch {
-	case in.Resumed || in.Prefill <= pause/shortPauses:
-	case in.Prefill <= pause/mediumPauses:
-		size = 1
-	case in.Prefill <= pause:
-		size = 2
-	default:
-		size = sizeCount + 1
+	for limit := pause / shortPauses; prefill > limit && size < maxSize; limit = time.Duration(sizeGrowth * float64(limit)) {
+		size++
 	}
-	return min(rank*sizeCount+size, maxRank)
+	return size
 }
