Let documents of the own deployment evacuate failure domains and restrict regions

A document lists evacuated domains, and the regions of organisations and of routes of plain services. Entries leave servers there out, agents refuse such work by their own newest document. The direct entries are not changed.

--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -254,6 +254,9 @@
 	if !s.Document.Allows(w.Organisation, w.Version, w.Pinned) {
 		return model.Refuse(model.KindWithdrawn, "version %s takes no such work any more: send the request again", w.Version)
 	}
+	if why := s.Document.BarsPlace(w.Organisation, a.cfg.Settings.Place); why != "" {
+		return model.Refuse(model.KindNoBackend, "this backend server may not run the request, %s: another one takes it", why)
+	}
 	if a.isBanned(w.Fingerprint, time.Now()) {
 		return model.Refuse(model.KindQuarantined, "the request crashed backend servers: change it before sending it again")
 	}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -84,7 +84,15 @@
 		Draws:        randomDraws(),
 		Now:          now,
 	}
-	in.Candidates = e.fleet.candidates(c.service, in.Excluded, now)
+	barred := ""
+	bar := func(p model.Place) string {
+		why := c.barsPlace(p)
+		if why != "" {
+			barred = why
+		}
+		return why
+	}
+	in.Candidates = e.fleet.candidates(c.service, in.Excluded, bar, now)
 	choice := picker.Nearest{}.Decide(in)
 	if !choice.Found && len(tried.full) > 0 && !tried.mustQueue() {
 		tried.allProbed = true
@@ -92,6 +100,9 @@
 	}
 	c.explain(explainer.Step{Decision: "backend server " + string(choice.Instance.Instance), Reason: choice.Reason, Alternatives: choice.Alternatives})
 	p, ok := e.fleet.peer(choice.Instance.Instance)
+	if !choice.Found && barred != "" {
+		return target{}, model.Refuse(model.KindNoBackend, "no backend server may run the request, of one %s: try again later, or change the document", barred).WithRetry(time.Second)
+	}
 	if !choice.Found || !ok {
 		return target{}, model.Refuse(model.KindNoBackend, "no backend server can take the request now: try again").WithRetry(time.Second)
 	}
@@ -99,6 +110,17 @@
 	return target{peer: p, instance: instance, boot: boot}, nil
 }
 
+// barsPlace returns why the request must not run at a place, or the empty string if it may.
+func (c *call) barsPlace(p model.Place) string {
+	if why := c.document().BarsPlace(c.org().Organisation, p); why != "" {
+		return why
+	}
+	if !c.regions.Allow(p.Region) {
+		return "its region is not allowed for the route"
+	}
+	return ""
+}
+
 // runWithRetries runs a step and retries it on other agents while that is safe and the retry
 // budget allows it.
 func (e *Entry) runWithRetries(c *call, s step, out answerSink) (*stepResult, *model.Refusal) {
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -22,15 +22,17 @@
 
 // call holds the state of one caller's request while the entry handles it.
 type call struct {
-	ctx            context.Context
-	id             model.RequestID
-	start          time.Time
-	deadline       time.Time
-	service        model.ServiceID
-	access         watcher.Access
-	class          model.Class
-	key            model.IdempotencyKey
-	idempotent     bool
+	ctx        context.Context
+	id         model.RequestID
+	start      time.Time
+	deadline   time.Time
+	service    model.ServiceID
+	access     watcher.Access
+	class      model.Class
+	key        model.IdempotencyKey
+	idempotent bool
+	// regions are those of the route of a plain service.
+	regions        model.Regions
 	session        string
 	sessionID      model.SessionID
 	pinned         model.VersionID
@@ -244,7 +246,7 @@
 		c.fingerprint = requestFingerprint(c.service, c.method, c.path, c.body)
 	}
 	route := c.document().FindRoute(c.method, path)
-	c.idempotent = route.Idempotent
+	c.idempotent, c.regions = route.Idempotent, route.Regions
 	if route.Class != "" {
 		return c.setClass(c.document().FindClass(route.Class), r)
 	}
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -195,8 +195,9 @@
 	p.breaker.RecordSuccess()
 }
 
-// candidates returns the agents of a service and adds those with an open breaker to excluded.
-func (f *fleet) candidates(service model.ServiceID, excluded map[model.InstanceID]string, now time.Time) []picker.Candidate {
+// candidates returns the agents of a service and adds those whose place bar gives a reason against, and those with an
+// open breaker, to excluded.
+func (f *fleet) candidates(service model.ServiceID, excluded map[model.InstanceID]string, bar func(model.Place) string, now time.Time) []picker.Candidate {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	var out []picker.Candidate
@@ -208,6 +209,9 @@
 				Instance: p.instance, Load: p.load, Reachable: p.reachable,
 				Unanswered: p.inFlight, Sent: p.sentSinceLoad, Answered: p.doneSinceLoad,
 			})
+			if why := bar(p.instance.Place); why != "" {
+				excluded[id] = why
+			}
 			if p.breaker.IsOpen(now) && excluded[id] == "" {
 				tripped = append(tripped, id)
 			}
--- a/pkg/model/document.go
+++ b/pkg/model/document.go
@@ -81,6 +81,8 @@
 	Classes        []Class
 	Routes         []Route
 	Rollout        *Rollout
+	// Evacuated lists the failure domains whose backend servers get no requests of the service.
+	Evacuated []DomainID
 }
 
 // SessionRule sets the lifetime of session pins and what happens to a session whose pinned version is withdrawn.
@@ -113,6 +115,8 @@
 	Concurrency  int
 	Priority     Priority
 	Weight       float64
+	// Regions are the regions in which the organisation's requests may run.
+	Regions Regions
 }
 
 // Class is a request class with its priority and deadline.
@@ -128,6 +132,8 @@
 	Method     string
 	Class      ClassID
 	Idempotent bool
+	// Regions are the regions in which the route's requests may run.
+	Regions Regions
 }
 
 // Rollout shifts traffic from the baseline to a version in steps; each step holds for a while before the next.
@@ -193,6 +199,17 @@
 	return v.State == StateServing || v.State == StateRetiring && pinned
 }
 
+// BarsPlace returns why requests of an organisation must not run at a place, or the empty string if they may.
+func (d *Document) BarsPlace(org OrganisationID, p Place) string {
+	if slices.Contains(d.Evacuated, p.Domain) {
+		return "its failure domain is evacuated"
+	}
+	if o, ok := d.FindOrganisation(org); ok && !o.Regions.Allow(p.Region) {
+		return "its region is not allowed for the organisation"
+	}
+	return ""
+}
+
 // ClassFor returns the first class with the priority, or a class with DefaultDeadline if there is none.
 func (d *Document) ClassFor(p Priority) Class {
 	for _, c := range d.Classes {
--- a/pkg/parser/document.go
+++ b/pkg/parser/document.go
@@ -43,6 +43,7 @@
 		Cascade:        optional(s, "cascade", false, parseBool),
 		EgressPrice:    optional(s, "egress", 0, model.ParseVolumePrice),
 		Session:        readSession(s.subsection("session")),
+		Evacuated:      parseList(s, "evacuated", parseName[model.DomainID]),
 	}
 	for _, v := range s.subsections("versions") {
 		d.Versions = append(d.Versions, readVersion(v))
@@ -60,7 +61,7 @@
 		d.Rollout = readRollout(rollout)
 	}
 	s.close("service", "kind", "cutoff", "target", "confidence", "explore", "cascade", "egress",
-		"session", "versions", "organisations", "classes", "routes", "rollout")
+		"session", "versions", "organisations", "classes", "routes", "rollout", "evacuated")
 	return d
 }
 
@@ -100,8 +101,9 @@
 		Concurrency:  optional(s, "concurrency", 0, integerBetween(1, maxConcurrency)),
 		Priority:     optional(s, "priority", model.PriorityHigh, oneOf(model.PriorityHigh, model.PriorityNormal, model.PriorityBatch)),
 		Weight:       optional(s, "weight", 1, numberBetween[float64](0.01, maxWeight)),
+		Regions:      parseList(s, "regions", parseName[model.RegionID]),
 	}
-	s.close("organisation", "keys", "versions", "target", "rate", "tokens", "spend", "concurrency", "priority", "weight")
+	s.close("organisation", "keys", "versions", "target", "rate", "tokens", "spend", "concurrency", "priority", "weight", "regions")
 	return o
 }
 
@@ -121,8 +123,9 @@
 		Method:     required(s, "method", oneOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")),
 		Class:      optional(s, "class", "", parseName[model.ClassID]),
 		Idempotent: required(s, "idempotent", parseBool),
+		Regions:    parseList(s, "regions", parseName[model.RegionID]),
 	}
-	s.close("route", "method", "class", "idempotent")
+	s.close("route", "method", "class", "idempotent", "regions")
 	return r
 }
 
