Log refusals for an organisation's share with the ages of what decided them

The line on each request that is ranked by a share is for debugging only, so that a flood does not fill the log. Decisions are not changed.

--- a/internal/forwarder/crowding.go
+++ b/internal/forwarder/crowding.go
@@ -16,7 +16,7 @@
 	full bool
 	// wait is the estimated time to the first token at an engine.
 	wait time.Duration
-	// reported means that the chosen server has told its load, age how long ago.
+	// reported means that the chosen server has told its load, age how long ago; -1 if it has not.
 	reported bool
 	age      time.Duration
 }
@@ -38,7 +38,10 @@
 
 func (f *Forwarder) serverCrowding(s model.BackendServer, busy int, now time.Time) crowding {
 	at := f.peers.get(s, now).lastReport()
-	return crowding{busy: busy, slots: s.Slots, reported: !at.IsZero(), age: now.Sub(at)}
+	if at.IsZero() {
+		return crowding{busy: busy, slots: s.Slots, age: -1}
+	}
+	return crowding{busy: busy, slots: s.Slots, reported: true, age: now.Sub(at)}
 }
 
 // lastReport returns when the peer last told its load, or the zero time.
--- a/internal/forwarder/shares.go
+++ b/internal/forwarder/shares.go
@@ -29,8 +29,8 @@
 	c.share.standing = f.cfg.Shares.Ask(c.share.ask, rand.Float64(), now)
 	if s := c.share.standing; s.OverShare || s.Promoted {
 		f.cfg.Meter.Count(admissionMetric("shares", shareReason(s), c.rank), 1)
-		f.cfg.Log.Info().Str("request", c.id).Str("organisation", string(c.org)).Int("rank", c.rank).Str("reason", shareReason(s)).Dur("told", s.ToldAge).
-			Int("busy", c.crowding.busy).Int("slots", c.crowding.slots).Dur("age", c.crowding.age).Msg("forwarder: the request is ranked by its organisation's share")
+		f.cfg.Log.Debug().Str("request", c.id).Str("organisation", string(c.org)).Int("rank", c.rank).Str("reason", shareReason(s)).Dur("told_age", s.ToldAge).
+			Msg("forwarder: the request is ranked by its organisation's share")
 	}
 }
 
@@ -83,6 +83,8 @@
 	f.cfg.Meter.Count(admissionMetric("admission", "over_share", c.rank), 1)
 	// A place is free for the flood once the others' requests in the queues have run, each for about its target.
 	wait := c.route.LatencyTarget * time.Duration(w.busy-w.slots) / time.Duration(w.slots)
+	f.cfg.Log.Info().Str("request", c.id).Str("reason", "over_share").Str("organisation", string(c.org)).Int("rank", c.rank).Dur("told_age", c.share.standing.ToldAge).
+		Int("busy", w.busy).Int("slots", w.slots).Dur("report_age", w.age).Dur("wait", wait).Msg("forwarder: the organisation is over its share and the request is not sent")
 	return model.Refuse(model.KindOverload, "all places are taken and the organisation has more than its share of them: try again later").
 		WithRetry(max(minRetry, time.Duration((1+rand.Float64())*float64(wait))))
 }
--- a/internal/logger/fields_test.go
+++ b/internal/logger/fields_test.go
@@ -19,7 +19,7 @@
 var update = flag.Bool("update", false, "rewrite the golden list of log fields and messages")
 
 // loggedPackages are the packages whose log lines on-call engineers search.
-var loggedPackages = []string{"forwarder", "follower", "shifter", "quarantiner", "gossiper", "limiter", "logger", "cli"}
+var loggedPackages = []string{"forwarder", "follower", "shifter", "quarantiner", "gossiper", "limiter", "admitter", "logger", "cli"}
 
 // fieldMethods are zerolog's methods whose first argument names a field.
 var fieldMethods = []string{"Str", "Int", "Int64", "Bool", "Dur", "Float64", "AnErr"}
