Pace broadcasts of shares and of learned answers by the number of entries

Every entry told its shares to all others once a second while places were scarce, and its answers every two: 299 datagrams of up to 1.4 kB a second at each.

Change: topics that sum up what they tell are sent at most once in 28 ms for each other entry, so an entry receives at most 36 a second on a fleet of any size. Up to 35 entries nothing changes by more than the tick of 100 ms.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -121,10 +121,11 @@
 			{Broadcasts: quarantine.Broadcasts, OnBroadcast: quarantine.OnBroadcast},
 			{Broadcasts: limits.Broadcasts, OnBroadcast: limits.OnBroadcast},
 			{Broadcasts: leaving.Broadcasts, OnBroadcast: leaving.OnBroadcast},
-			{Broadcasts: shares.Broadcasts, OnBroadcast: shares.OnBroadcast},
+			{Broadcasts: shares.Broadcasts, OnBroadcast: shares.OnBroadcast, Paced: true},
 			{
 				Broadcasts:  func(now time.Time) [][]byte { return f.CascadeBroadcasts(now) },
 				OnBroadcast: func(b []byte, now time.Time) { f.OnCascadeBroadcast(b, now) },
+				Paced:       true,
 			},
 		},
 	})
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -39,6 +39,9 @@
 	publishRetryPause = time.Second
 	// restateSpread is the time over which the entries spread the writes of addresses that the store has lost.
 	restateSpread = 3 * time.Second
+	// pacedInterval, for each other entry, is the least time between two broadcasts of a paced topic, so that an entry
+	// receives at most one in that time from all others, on a fleet of any size. Up to 35 entries it is less than a second.
+	pacedInterval = 28 * time.Millisecond
 	// maxMessageBytes is the size of the largest message; it fits into one packet of usual size.
 	maxMessageBytes = 1400
 )
@@ -81,6 +84,8 @@
 	Broadcasts func(now time.Time) [][]byte
 	// OnBroadcast is called with each payload from another entry.
 	OnBroadcast func(payload []byte, now time.Time)
+	// Paced topics sum up what they tell, so that they may tell it less often the more entries there are.
+	Paced bool
 }
 
 // Gossiper holds the open work of the other entries of the region.
@@ -90,6 +95,8 @@
 	mu      sync.RWMutex
 	members map[model.InstanceID]*member
 	byAddr  map[netip.AddrPort]*member
+	// pacedAt holds when each paced topic may be broadcast next; only Run uses it.
+	pacedAt map[int]time.Time
 	// lastSentEmpty reports whether the last work message held no open work; only Run uses it.
 	lastSentEmpty bool
 	// lost wakes publishAddress when the store has lost the own address.
@@ -116,7 +123,7 @@
 
 // New returns a Gossiper that knows no other entry.
 func New(cfg Config) *Gossiper {
-	return &Gossiper{cfg: cfg, members: map[model.InstanceID]*member{}, byAddr: map[netip.AddrPort]*member{}, lost: make(chan struct{}, 1)}
+	return &Gossiper{cfg: cfg, members: map[model.InstanceID]*member{}, byAddr: map[netip.AddrPort]*member{}, pacedAt: map[int]time.Time{}, lost: make(chan struct{}, 1)}
 }
 
 const addressPrefix = "entry."
@@ -295,7 +302,11 @@
 // work message if there is no open work and the last message held none either.
 func (g *Gossiper) sendUpdates(conn *net.UDPConn, now time.Time) {
 	for i, topic := range g.cfg.Topics {
+		if topic.Paced && now.Before(g.pacedAt[i]) {
+			continue
+		}
 		for _, payload := range topic.Broadcasts(now) {
+			g.pacedAt[i] = now.Add(g.broadcastInterval())
 			g.send(conn, append([]byte{messageBroadcast + byte(i)}, payload...), g.recipients(true, now))
 		}
 	}
@@ -307,6 +318,13 @@
 	g.send(conn, encodeWork(local), g.recipients(false, now))
 }
 
+// broadcastInterval returns the least time between two broadcasts of a paced topic.
+func (g *Gossiper) broadcastInterval() time.Duration {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return time.Duration(len(g.members)) * pacedInterval
+}
+
 // recipients returns the addresses of the other entries. With crossRegion it includes those of other
 // regions. Entries of the own region that have been silent for silentAfter are included only every
 // silentSendInterval.
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -255,3 +255,35 @@
 		})
 	}
 }
+
+// TestPacedTopicsFillLinks guards against entries that receive more broadcasts of a paced topic the more entries there
+// are: a weak link carries 36 a second from all others, on a fleet of any size.
+func TestPacedTopicsFillLinks(t *testing.T) {
+	for _, others := range []int{27, 299, 419} {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent := 0
+		g := New(Config{
+			Self: "e", Place: model.Place{Region: "lake"}, Address: conn.LocalAddr().String(), Log: zerolog.Nop(),
+			Local: func() map[model.BackendID]OpenWork { return nil },
+			Topics: []Topic{{Paced: true, Broadcasts: func(time.Time) [][]byte {
+				sent++
+				return [][]byte{[]byte("news")}
+			}}},
+		})
+		for i := range others {
+			g.members[model.InstanceID(fmt.Sprint("o", i))] = &member{addr: netip.MustParseAddrPort("127.0.0.1:9"), crossRegion: true}
+		}
+		const length = 60 * time.Second
+		start := time.Unix(1000, 0)
+		for at := time.Duration(0); at < length; at += sendInterval {
+			g.sendUpdates(conn, start.Add(at))
+		}
+		conn.Close()
+		if rate := float64(sent*others) / length.Seconds(); rate > 1/pacedInterval.Seconds()+float64(others)/length.Seconds() {
+			t.Errorf("with %d others, an entry receives %.0f broadcasts a second", others, rate)
+		}
+	}
+}
