Leave misdirected requests out of the soak's count at cold servers

Cause: counted 14 requests in a second at a cold server that bears 13; the entries' logs have six, and the others were meant for the server that had its address before, which it refuses with 421. Such requests do not count by the rule.

--- a/internal/soaker/domains.go
+++ b/internal/soaker/domains.go
@@ -179,13 +179,14 @@
 	return nil
 }
 
-// checkCold checks that no cold backend server gets more requests in a second than it bears, from all entries.
+// checkCold checks that no cold backend server gets more requests in a second than it bears, from all entries. Requests
+// that were meant for the server before it at its address do not count.
 func checkCold(h history) []violation {
 	var out []violation
 	for _, c := range h.Cold {
 		var at []time.Time
 		for _, a := range h.Arrivals {
-			if a.Server == c.Server && a.At.Before(c.To) {
+			if a.Server == c.Server && !a.Misdirected && a.At.Before(c.To) {
 				at = append(at, a.At)
 			}
 		}
