--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -309,6 +310,10 @@
 	if int64(len(body)) > limit {
 		return release, model.Refuse(model.KindTooLarge, "the body is over %d bytes: send a smaller one", limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The caller may be slow, or the entry was suspended while the body lay in its socket.
+		return release, model.Refuse(model.KindDeadline, "the body did not come whole in time").WithRetry(minRetry)
+	}
 	if err != nil {
 		return release, model.Refuse(model.KindIncompleteBody, "the body did not come whole: %v", err)
 	}
