--- a/internal/follower/evacuations.go
+++ b/internal/follower/evacuations.go
@@ -71,6 +71,10 @@
 	if ok {
 		e.Since = known.Since
 	}
+	if ok && known.id != id {
+		// The end of the known one was missed.
+		t.withdrawn[known.id] = now
+	}
 	t.inForce[d] = e
 	return !ok || known.id != id
 }
