Show that streams which must run once run twice on routes with sizes

On a streaming route with sizes that may not be resumed, an answer of low confidence is dropped and the request runs again with the largest model; no check asks whether the request may run twice.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(ctx context.Context, r *run) (broken bool, err error){
 	"engineless": playEngineless,
+	"once":       playOnce,
 }
 
 func main() {
