Show answers that crashes cut and clients get as whole ones

A replica that crashes while it sends an answer without a length to a request that it has not read in full resets the channel. The client must not get the part that arrived as a complete success.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/stand-2 ./review/stand-2
+go build -o target/stand-3 ./review/stand-3
--- /dev/null
+++ b/review/stand-3/fleet.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/bramleyhinge/bramleyhinge/platform/standin"
+)
+
+const (
+	host     = "case.example"
+	apiKey   = "n2ctnfzs989anu6wsjnb"
+	service  = "workshop-orders"
+	version  = "v1"
+	zoneName = "duluth-a"
+)
+
+var zones = map[string]string{zoneName: "lake-superior", "milwaukee-a": "lake-michigan"}
+
+// process is a program that the case has started.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// startProcess starts a program whose output lines are passed to onLine.
+func startProcess(onLine func(string), env []string, name string, args ...string) (*process, error) {
+	cmd := exec.Command(name, args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	go func() {
+		s := bufio.NewScanner(out)
+		s.Buffer(nil, 1<<20)
+		for s.Scan() {
+			onLine(s.Text())
+		}
+		_ = cmd.Wait()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// end sends a signal and waits for the end of the process, at most until SIGKILL had to be sent.
+func (p *process) end(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+	select {
+	case <-p.exited:
+	case <-time.After(6 * time.Second):
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+	}
+}
+
+// replicaSlot is a place for one replica, which keeps its address when it starts again under a new id.
+type replicaSlot struct {
+	id, address string
+	*process
+}
+
+// fleet is a small deployment: entries, replicas and the store.
+type fleet struct {
+	store    *standin.Store
+	dir      string
+	entries  []*process
+	fronts   []string
+	replicas []*replicaSlot
+
+	mu  sync.Mutex
+	ran map[string][]string
+}
+
+// route is a route of the manifest, with the names that the manifest has for its fields.
+type route struct {
+	Name          string `json:"name"`
+	Host          string `json:"host"`
+	Prefix        string `json:"path-prefix"`
+	Kind          string `json:"kind"`
+	Timeout       int    `json:"timeout-ms"`
+	TargetLatency int    `json:"target-latency-ms"`
+	Priority      int    `json:"priority"`
+	Service       string `json:"service"`
+	Attempts      int    `json:"max-attempts"`
+	Public        bool   `json:"public"`
+}
+
+// manifest returns a manifest with the limits of the example on the pages.
+func manifest(number int, routes []route) map[string]any {
+	return map[string]any{
+		"version":  number,
+		"routes":   routes,
+		"services": []any{map[string]any{"name": service, "health-path": "/health", "max-connections": 96, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants":  []any{map[string]any{"name": "hule930", "api-keys": []string{apiKey}, "priority": 1}},
+	}
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// freePair returns a port whose successor is free as well.
+func freePair() (int, error) {
+	for range 50 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		next, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port+1))
+		l.Close()
+		if err == nil {
+			next.Close()
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no two free ports in a row")
+}
+
+// startFleet starts the store, replicas and entries, and waits until the entries are ready.
+func startFleet(program, dir string, entries, replicas int, routes []route) (*fleet, error) {
+	f := &fleet{store: standin.NewStore(), dir: dir, ran: map[string][]string{}}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = http.Serve(l, f.store) }()
+	if err := f.store.Set("config/main", manifest(3, routes)); err != nil {
+		return nil, err
+	}
+	for i := range replicas {
+		slot := &replicaSlot{}
+		f.replicas = append(f.replicas, slot)
+		if err := f.startReplica(slot, fmt.Sprintf("i-%02d-0", i)); err != nil {
+			return f, err
+		}
+	}
+	for i := range entries {
+		if err := f.startEntry(program, fmt.Sprintf("edge-%d", i), l.Addr().String()); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) startEntry(program, name, store string) error {
+	front, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	ready, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	port, err := freePair()
+	if err != nil {
+		return err
+	}
+	b, err := standin.EncodeSettings(standin.Entry{Name: name, Zone: zoneName, Callers: front, Ready: ready, Store: store, Port: port}, zones)
+	if err != nil {
+		return err
+	}
+	settings := filepath.Join(f.dir, name+".toml")
+	if err := os.WriteFile(settings, b, 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	p, err := startProcess(func(line string) { fmt.Fprintln(log, line) }, []string{"BRAMLEYHINGE_BOOT=" + settings}, program, "direct")
+	if err != nil {
+		return err
+	}
+	f.entries, f.fronts = append(f.entries, p), append(f.fronts, front)
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://" + ready + "/-/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("entry %s is not ready after 10 s", name)
+}
+
+// startReplica starts a replica and writes its entry into the store.
+func (f *fleet) startReplica(slot *replicaSlot, id string) error {
+	address := slot.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listening := make(chan string, 1)
+	p, err := startProcess(func(line string) {
+		if at, ok := strings.CutPrefix(line, "listening "); ok {
+			listening <- at
+		}
+		if request, ok := strings.CutPrefix(line, "ran "); ok {
+			f.mu.Lock()
+			f.ran[request] = append(f.ran[request], id)
+			f.mu.Unlock()
+		}
+	}, nil, os.Args[0], "replica", id, address)
+	if err != nil {
+		return err
+	}
+	slot.id, slot.process = id, p
+	select {
+	case slot.address = <-listening:
+	case <-time.After(5 * time.Second):
+		return fmt.Errorf("replica %s does not listen", id)
+	}
+	return f.store.Announce(standin.Server{
+		ID: id, Service: service, Address: slot.address, Zone: zoneName, Version: version, Slots: 16, StartUnixMilli: time.Now().UnixMilli(),
+	})
+}
+
+func (f *fleet) runsOf(request string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[request]
+}
+
+// stop ends all processes.
+func (f *fleet) stop() {
+	var wg sync.WaitGroup
+	for _, p := range f.entries {
+		wg.Go(func() { p.end(syscall.SIGTERM) })
+	}
+	wg.Wait()
+	for _, s := range f.replicas {
+		if s.process != nil {
+			s.end(syscall.SIGKILL)
+		}
+	}
+}
--- /dev/null
+++ b/review/stand-3/main.go
@@ -0,0 +1,23 @@
+// Command stand-3 plays clients, replicas and the platform's store for the cases of this review.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	var err error
+	switch {
+	case len(os.Args) == 4 && os.Args[1] == "replica":
+		err = runReplica(os.Args[2], os.Args[3])
+	case len(os.Args) == 4 && os.Args[1] == "early":
+		os.Exit(runEarly(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	default:
+		err = fmt.Errorf("usage: stand-3 replica ID ADDRESS | stand-3 early PROGRAM FOLDER")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "stand-3:", err)
+		os.Exit(2)
+	}
+}
