Show streams that a stop cuts after a change of the grace time

An entry whose settings file raises grace-s, with SIGHUP, must not cut running streams in a later stop before the new time needs it.

Shown by review/10/run.sh, against four entries and three replicas as processes of their own and the project's stand-in of the store: grace-s goes from 4 to 8 at one entry, which gets SIGTERM six seconds later while streams run that end five seconds after that.

Result: failed in five runs of five; each time all six streams of the entry ended 3.5 s after the SIGTERM, after 29 of 40 events, and the 18 of the other entries were whole. With TROUBLE=0, where the settings hold 8 from the start, one run of one passed with 24 of 24 whole.

--- a/review/stand-3/early.go
+++ b/review/stand-3/early.go
@@ -86,10 +86,13 @@
 		return 2
 	}
 	defer record.Close()
-	f, err := startFleet(program, dir, 2, replicas, []route{{
-		Name: "supply-order", Host: host, Prefix: "/order/", Kind: "non_idempotent", Service: service,
-		Timeout: int(timeLimit.Milliseconds()), TargetLatency: 200, Attempts: 3,
-	}})
+	f, err := startFleet(fleetConfig{
+		program: program, dir: dir, entries: 2, replicas: replicas, role: "replica", slots: 16, grace: graceS,
+		routes: []route{{
+			Name: "supply-order", Host: host, Prefix: "/order/", Kind: "non_idempotent", Service: service,
+			Timeout: int(timeLimit.Milliseconds()), TargetLatency: 200, Attempts: 3,
+		}},
+	})
 	if f != nil {
 		defer f.stop()
 	}
@@ -132,7 +135,7 @@
 		}
 		time.Sleep(crashAfter)
 		if trouble {
-			slot := f.replicas[round%replicas]
+			slot := f.places[round%replicas]
 			fmt.Fprintf(record, "%8.3f s  SIGKILL replica %s\n", time.Since(began).Seconds(), slot.id)
 			slot.end(syscall.SIGKILL)
 			time.Sleep(time.Second)
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,6 +23,8 @@
 	service  = "workshop-orders"
 	version  = "v1"
 	zoneName = "duluth-a"
+	// graceS is the time in seconds from SIGTERM to SIGKILL.
+	graceS = 8
 )
 
 var zones = map[string]string{zoneName: "lake-superior", "milwaukee-a": "lake-michigan"}
@@ -62,7 +65,7 @@
 	_ = p.cmd.Process.Signal(s)
 	select {
 	case <-p.exited:
-	case <-time.After(6 * time.Second):
+	case <-time.After(graceS * time.Second):
 		_ = p.cmd.Process.Kill()
 		<-p.exited
 	}
@@ -76,14 +79,17 @@
 
 // fleet is a small deployment: entries, replicas and the store.
 type fleet struct {
+	fleetConfig
 	store    *standin.Store
-	dir      string
-	entries  []*process
+	settings []standin.Entry
+	running  []*process
 	fronts   []string
-	replicas []*replicaSlot
+	places   []*replicaSlot
 
-	mu  sync.Mutex
-	ran map[string][]string
+	mu sync.Mutex
+	// ran holds the replicas that ran each request, left the requests whose channel was closed before their answer was whole.
+	ran  map[string][]string
+	left map[string]bool
 }
 
 // route is a route of the manifest, with the names that the manifest has for its fields.
@@ -98,6 +104,8 @@
 	Service       string `json:"service"`
 	Attempts      int    `json:"max-attempts"`
 	Public        bool   `json:"public"`
+	Resumable     bool   `json:"resumable"`
+	GapAim        int    `json:"gap-aim-ms,omitempty"`
 }
 
 // manifest returns a manifest with the limits of the example on the pages.
@@ -138,33 +146,42 @@
 	return 0, fmt.Errorf("no two free ports in a row")
 }
 
+// fleetConfig describes a fleet. The role is this program's command that plays a replica.
+type fleetConfig struct {
+	program, dir, role       string
+	entries, replicas, slots int
+	// grace is the time in seconds from SIGTERM to SIGKILL in the settings.
+	grace  int
+	routes []route
+}
+
 // startFleet starts the store, replicas and entries, and waits until the entries are ready.
-func startFleet(program, dir string, entries, replicas int, routes []route) (*fleet, error) {
-	f := &fleet{store: standin.NewStore(), dir: dir, ran: map[string][]string{}}
+func startFleet(cfg fleetConfig) (*fleet, error) {
+	f := &fleet{fleetConfig: cfg, store: standin.NewStore(), ran: map[string][]string{}, left: map[string]bool{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	go func() { _ = http.Serve(l, f.store) }()
-	if err := f.store.Set("config/main", manifest(3, routes)); err != nil {
+	if err := f.store.Set("config/main", manifest(3, cfg.routes)); err != nil {
 		return nil, err
 	}
-	for i := range replicas {
+	for i := range cfg.replicas {
 		slot := &replicaSlot{}
-		f.replicas = append(f.replicas, slot)
+		f.places = append(f.places, slot)
 		if err := f.startReplica(slot, fmt.Sprintf("i-%02d-0", i)); err != nil {
 			return f, err
 		}
 	}
-	for i := range entries {
-		if err := f.startEntry(program, fmt.Sprintf("edge-%d", i), l.Addr().String()); err != nil {
+	for i := range cfg.entries {
+		if err := f.startEntry(fmt.Sprintf("edge-%d", i), l.Addr().String()); err != nil {
 			return f, err
 		}
 	}
 	return f, nil
 }
 
-func (f *fleet) startEntry(program, name, store string) error {
+func (f *fleet) startEntry(name, store string) error {
 	front, err := freeAddress()
 	if err != nil {
 		return err
@@ -177,23 +194,19 @@
 	if err != nil {
 		return err
 	}
-	b, err := standin.EncodeSettings(standin.Entry{Name: name, Zone: zoneName, Callers: front, Ready: ready, Store: store, Port: port}, zones)
-	if err != nil {
-		return err
-	}
-	settings := filepath.Join(f.dir, name+".toml")
-	if err := os.WriteFile(settings, b, 0o600); err != nil {
+	f.settings = append(f.settings, standin.Entry{Name: name, Zone: zoneName, Callers: front, Ready: ready, Store: store, Port: port})
+	if err := f.writeSettings(len(f.settings)-1, f.grace); err != nil {
 		return err
 	}
 	log, err := os.Create(filepath.Join(f.dir, name+".log"))
 	if err != nil {
 		return err
 	}
-	p, err := startProcess(func(line string) { fmt.Fprintln(log, line) }, []string{"BRAMLEYHINGE_BOOT=" + settings}, program, "direct")
+	p, err := startProcess(func(line string) { fmt.Fprintln(log, line) }, []string{"BRAMLEYHINGE_BOOT=" + f.settingsFile(name)}, f.program, "direct")
 	if err != nil {
 		return err
 	}
-	f.entries, f.fronts = append(f.entries, p), append(f.fronts, front)
+	f.running, f.fronts = append(f.running, p), append(f.fronts, front)
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		resp, err := http.Get("http://" + ready + "/-/ready")
 		if err != nil {
@@ -207,6 +220,23 @@
 	return fmt.Errorf("entry %s is not ready after 10 s", name)
 }
 
+func (f *fleet) settingsFile(name string) string { return filepath.Join(f.dir, name+".toml") }
+
+// writeSettings writes the settings file of an entry in one step.
+func (f *fleet) writeSettings(entry, grace int) error {
+	e := f.settings[entry]
+	b, err := standin.EncodeSettings(e, zones)
+	if err != nil {
+		return err
+	}
+	b = bytes.Replace(b, fmt.Appendf(nil, "grace-s = %d", standin.GraceS), fmt.Appendf(nil, "grace-s = %d", grace), 1)
+	next := f.settingsFile(e.Name) + ".next"
+	if err := os.WriteFile(next, b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, f.settingsFile(e.Name))
+}
+
 // startReplica starts a replica and writes its entry into the store.
 func (f *fleet) startReplica(slot *replicaSlot, id string) error {
 	address := slot.address
@@ -218,12 +248,17 @@
 		if at, ok := strings.CutPrefix(line, "listening "); ok {
 			listening <- at
 		}
+		if request, ok := strings.CutPrefix(line, "left "); ok {
+			f.mu.Lock()
+			f.left[request] = true
+			f.mu.Unlock()
+		}
 		if request, ok := strings.CutPrefix(line, "ran "); ok {
 			f.mu.Lock()
 			f.ran[request] = append(f.ran[request], id)
 			f.mu.Unlock()
 		}
-	}, nil, os.Args[0], "replica", id, address)
+	}, nil, os.Args[0], f.role, id, address)
 	if err != nil {
 		return err
 	}
@@ -234,7 +269,7 @@
 		return fmt.Errorf("replica %s does not listen", id)
 	}
 	return f.store.Announce(standin.Server{
-		ID: id, Service: service, Address: slot.address, Zone: zoneName, Version: version, Slots: 16, StartUnixMilli: time.Now().UnixMilli(),
+		ID: id, Service: service, Address: slot.address, Zone: zoneName, Version: version, Slots: f.slots, StartUnixMilli: time.Now().UnixMilli(),
 	})
 }
 
@@ -244,14 +279,20 @@
 	return f.ran[request]
 }
 
+func (f *fleet) hasLeft(request string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.left[request]
+}
+
 // stop ends all processes.
 func (f *fleet) stop() {
 	var wg sync.WaitGroup
-	for _, p := range f.entries {
+	for _, p := range f.running {
 		wg.Go(func() { p.end(syscall.SIGTERM) })
 	}
 	wg.Wait()
-	for _, s := range f.replicas {
+	for _, s := range f.places {
 		if s.process != nil {
 			s.end(syscall.SIGKILL)
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -11,10 +11,14 @@
 	switch {
 	case len(os.Args) == 4 && os.Args[1] == "replica":
 		err = runReplica(os.Args[2], os.Args[3])
+	case len(os.Args) == 4 && os.Args[1] == "stream-replica":
+		err = runStreamReplica(os.Args[2], os.Args[3])
+	case len(os.Args) == 4 && os.Args[1] == "grace":
+		os.Exit(runGrace(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
 	case len(os.Args) == 4 && os.Args[1] == "early":
 		os.Exit(runEarly(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
 	default:
-		err = fmt.Errorf("usage: stand-3 replica ID ADDRESS | stand-3 early PROGRAM FOLDER")
+		err = fmt.Errorf("usage: stand-3 replica|stream-replica ID ADDRESS, or stand-3 early|grace PROGRAM FOLDER")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "stand-3:", err)
