Play twelve crashes in the case of answers that crashes cut

With six crashes and nothing else on the machine two or three of 84 long requests were cut in each run, so that a run could pass by chance.

--- a/review/stand-3/early.go
+++ b/review/stand-3/early.go
@@ -18,7 +18,7 @@
 	// replicas is the number of replicas: one of them is less than the share of 0.15 that may crash at a time.
 	replicas = 7
 	// rounds is the number of crashes, roundTime the time from one to the next.
-	rounds, roundTime = 6, 4 * time.Second
+	rounds, roundTime = 12, 4 * time.Second
 	// longPerRound is the number of long requests that are under way at a crash.
 	longPerRound = 14
 	// longBytes is the body of a long request; the manifest allows 4 MiB.
