--- a/review/stand-3/limits.go
+++ b/review/stand-3/limits.go
@@ -61,7 +61,7 @@
 	}
 	a.earlier = k.requests
 	k.requests++
-	head := fmt.Sprintf("POST /work/2f HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token %s\r\nContent-Length: 4\r\n",
+	head := fmt.Sprintf("POST /stock/2f HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\nAuthorization: Token %s\r\nContent-Length: 4\r\n",
 		host, id, apiKey)
 	const note = "X-Note: "
 	if n := size - len(head) - len(note) - len("\r\n\r\n"); n > 0 {
@@ -112,7 +112,7 @@
 		first = headerLimit
 	}
 	routes := []route{{
-		Name: "order-work", Host: host, Prefix: "/work/", Kind: "idempotent", Service: service, Timeout: 5000, TargetLatency: 500, Attempts: 2,
+		Name: "order-work", Host: host, Prefix: "/stock/", Kind: "idempotent", Service: service, Timeout: 5000, TargetLatency: 500, Attempts: 2,
 	}}
 	f, err := startFleet(fleetConfig{
 		program: program, dir: dir, entries: limitEntries, replicas: limitReplicas, role: "replica", slots: limitSlots, grace: graceS,
--- a/review/stand-3/same.go
+++ b/review/stand-3/same.go
@@ -45,7 +45,7 @@
 	f, err := startFleet(fleetConfig{
 		program: program, dir: dir, entries: sameEntries, replicas: sameReplicas, role: "report-replica", slots: streamSlots, grace: graceS,
 		routes: []route{{
-			Name: "stock-lookup", Host: host, Prefix: "/work/", Kind: "idempotent", Service: service, Timeout: 5000, TargetLatency: 2000, Attempts: 3,
+			Name: "stock-lookup", Host: host, Prefix: "/stock/", Kind: "idempotent", Service: service, Timeout: 5000, TargetLatency: 2000, Attempts: 3,
 		}},
 	})
 	if f != nil {
