Deliver answers of services without engines on routes with models

Callers saw: a manifest split a route with models between a service with an engine and one without.

Cause: escalate asked for an engine of the largest model whenever the route has models, and read the engine of the service, which is nil. The stack on standard error names it; requests ran, so the first choice of a model is not at fault, and the servers' answers were whole.

Fix: an answer of a service without engines is delivered, and nothing is learned of models from it: the interval between its events counted as that of the engines' models before. All other uses of the engine test for it.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -304,7 +304,7 @@
 	if delivered < paceEvents {
 		f.recordEventInterval(c, rep, delivered, took, now)
 	}
-	if delivered > 1 {
+	if delivered > 1 && c.service.Engine != nil {
 		f.speeds.observeEventInterval(c.model, took/time.Duration(delivered-1))
 	}
 	f.recordCompletion(c, rep, now, nil)
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -290,13 +290,14 @@
 
 // escalate decides whether to discard an answer and ask a larger model, and sets that model on the call.
 func (f *Forwarder) escalate(c *call, rep *reply) bool {
-	if c.delivered || len(c.route.Models) == 0 || c.trial || !rep.isSuccess() {
+	// The answer of a service without engines tells nothing of the models, and no larger one can be asked there.
+	if c.delivered || len(c.route.Models) == 0 || c.service.Engine == nil || c.trial || !rep.isSuccess() {
 		return false
 	}
 	confidence := f.confidence(rep)
 	now := time.Now()
 	f.observeOutcome(c, rep.peer, false, now)
-	if c.uncontended && c.service.Engine != nil {
+	if c.uncontended {
 		f.speeds.observeHead(c.model, c.service.Engine, c.uncachedTokens, now.Sub(c.attemptStart))
 	}
 	larger := c.route.Models[len(c.route.Models)-1]
