Answer requests whose handling panics, and give back what they counted

The request stayed counted as open work of its server, here and at the entries that are told.

Cause: the end of an attempt was a statement that a panic skips, and nothing but net/http recovered. The entry's own open work keeps the request in the test, so it is not the others that miss a message.

Fix: an attempt gives back its counts by defer, and its request stays a suspect if the server crashes. The caller gets 500 with what is true of the run and keeps its connection; a begun answer is cut. A log line holds id and stack, a metric the number.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -37,6 +37,7 @@
 // answerWriter writes an answer to the caller; started is set once the status line, with status, is written.
 type answerWriter struct {
 	w       http.ResponseWriter
+	call    *call
 	started bool
 	status  int
 	// heldUp is how long writes of the current attempt's answer have waited for the caller, err the error of the last one.
@@ -48,7 +49,7 @@
 
 // newAnswerWriter returns a writer of the answer to a call.
 func newAnswerWriter(ctx context.Context, c *call, w http.ResponseWriter) *answerWriter {
-	out := &answerWriter{w: w}
+	out := &answerWriter{w: w, call: c}
 	if c.unchunked {
 		// Such a caller takes an answer without a length for complete if its connection is closed without a reset.
 		out.resetOnClose = func(on bool) { acceptor.ResetOnClose(ctx, on) }
@@ -72,6 +73,7 @@
 
 // writeHead forwards the status and headers of an answer.
 func (o *answerWriter) writeHead(rep *reply, length int64) {
+	o.call.answered = true
 	h := o.w.Header()
 	for name, values := range rep.Header {
 		if !hopByHop[name] {
@@ -428,6 +430,7 @@
 	b, _ := json.Marshal(body)
 	h.Set("Content-Length", strconv.Itoa(len(b)))
 	limitWrites(w, time.Now())
+	c.answered = true
 	w.WriteHeader(status)
 	if _, err := w.Write(b); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", c.id).Msg("forwarder: the caller left before the refusal")
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -95,8 +95,8 @@
 	mayHaveRun bool
 	// lastEvent is the id of the last event that the caller has, from this answer or by its own statement.
 	lastEvent string
-	// delivered is set once part of the answer was written to the caller.
-	delivered bool
+	// answered is set once an answer or a refusal was begun, delivered once part of the answer was written to the caller.
+	answered, delivered bool
 	// unresumable is set once the caller has a part of an answer that no other attempt can continue.
 	unresumable bool
 	// unchunked is set if the caller's version of HTTP has no chunks.
@@ -117,28 +117,34 @@
 	parts []string
 }
 
-// readRequest validates a request and reads its body; release frees the memory reserved for the body.
-func (f *Forwarder) readRequest(w http.ResponseWriter, r *http.Request, now time.Time) (c *call, release func(), refusal *model.Refusal) {
+// newCall returns the state of a request that arrived at now; requestHeader names the header with its id.
+func newCall(r *http.Request, requestHeader string, now time.Time) *call {
+	return &call{
+		id: r.Header.Get(requestHeader), start: now, method: r.Method, uri: r.RequestURI, host: r.Host, unchunked: !r.ProtoAtLeast(1, 1),
+		tried: map[model.BackendID]bool{},
+	}
+}
+
+// readRequest validates a call's request and reads its body; release frees the memory reserved for the body.
+func (f *Forwarder) readRequest(c *call, w http.ResponseWriter, r *http.Request, now time.Time) (release func(), refusal *model.Refusal) {
 	release = func() {}
-	c = &call{id: r.Header.Get(f.cfg.Names.Request), start: now, method: r.Method, uri: r.RequestURI, host: r.Host, unchunked: !r.ProtoAtLeast(1, 1),
-		tried: map[model.BackendID]bool{}}
 	c.plan = f.cfg.PlatformState.Plan()
 	if c.plan == nil || !f.isReady() {
 		// Without the roll-outs and bans of the lists, versions that are not due and banned requests would pass.
-		return c, release, model.Refuse(model.KindStaleConfiguration, "no plan is known yet, or a list was not read yet: try again").WithRetry(time.Second)
+		return release, model.Refuse(model.KindStaleConfiguration, "no plan is known yet, or a list was not read yet: try again").WithRetry(time.Second)
 	}
 	c.hostName, c.path = stripPort(r.Host), r.URL.Path
 	route, ok := c.plan.FindRoute(c.hostName, c.path)
 	if !ok {
-		return c, release, f.refuseUnlessStale(model.Refuse(model.KindUnknownService, "no route of host %q begins path %q", r.Host, r.URL.Path))
+		return release, f.refuseUnlessStale(model.Refuse(model.KindUnknownService, "no route of host %q begins path %q", r.Host, r.URL.Path))
 	}
 	c.route = route
 	if refusal := f.authorise(c, r); refusal != nil {
-		return c, release, refusal
+		return release, refusal
 	}
 	service, ok := c.plan.Services[f.pickService(c, r)]
 	if !ok {
-		return c, release, model.Refuse(model.KindNoBackend, "route %q names a service that the plan does not have", route.Route).WithRetry(time.Second)
+		return release, model.Refuse(model.KindNoBackend, "route %q names a service that the plan does not have", route.Route).WithRetry(time.Second)
 	}
 	c.service = service
 	c.setDeadline(r.Header.Get(f.cfg.Names.TimeLeft))
@@ -155,7 +161,7 @@
 	release, refusal = f.readBody(c, w, r)
 	c.fingerprint = c.computeFingerprint()
 	c.traits = c.computeTraits()
-	return c, release, refusal
+	return release, refusal
 }
 
 // refuseUnlessStale returns refusal, which is final, if the plan is fresh, and one that asks for a retry otherwise.
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/acceptor"
@@ -33,11 +34,14 @@
 // serve handles one request until it is answered or refused.
 func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	c := newCall(r, f.cfg.Names.Request, now)
+	// Registered first, so that it runs after all else that was taken for the request is given back.
+	defer f.answerPanic(w, c)
 	f.awaitPlan(r.Context())
 	if f.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
-	c, release, refusal := f.readRequest(w, r, now)
+	release, refusal := f.readRequest(c, w, r, now)
 	defer func() {
 		// The connections are closed by now, so that writes end.
 		c.writes.Wait()
@@ -79,17 +83,7 @@
 			last = model.Refuse(model.KindLeaving, "the entry stops before an answer would be complete: send the request again").WithRetry(stoppingRetry)
 			break
 		}
-		p.startRequest(c.prefillTime, c.heldTokens(), now)
-		c.attemptStart, c.attempt = now, p.startAttempt(c)
-		rep, fail := f.exchange(ctx, c, p, f.headTimeout(c))
-		if p.removeBacklog(c.prefillTime); fail == nil {
-			p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
-			f.takeShare(c, time.Now())
-			f.observeHold(c, time.Now())
-			fail = f.deliver(ctx, c, rep, out)
-		}
-		p.finishAttempt(c.attempt, time.Now())
-		p.endAttempt(c.attempt, fail, time.Now())
+		fail := f.tryBackend(ctx, c, p, out, now)
 		if fail == nil {
 			return
 		}
@@ -124,6 +118,30 @@
 	f.refuse(w, c, last)
 }
 
+// tryBackend sends the request to a backend server and delivers its answer.
+func (f *Forwarder) tryBackend(ctx context.Context, c *call, p *peer, out *answerWriter, now time.Time) *failure {
+	p.startRequest(c.prefillTime, c.heldTokens(), now)
+	c.attemptStart, c.attempt = now, p.startAttempt(c)
+	prefillTime := c.prefillTime
+	removeBacklog := sync.OnceFunc(func() { p.removeBacklog(prefillTime) })
+	// A panic must not leave the request counted at the server, which would look fuller for good.
+	fail := &failure{kind: failureBroken, cause: errPanicked}
+	defer func() {
+		removeBacklog()
+		p.finishAttempt(c.attempt, time.Now())
+		p.endAttempt(c.attempt, fail, time.Now())
+	}()
+	rep, failed := f.exchange(ctx, c, p, f.headTimeout(c))
+	if removeBacklog(); failed == nil {
+		p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
+		f.takeShare(c, time.Now())
+		f.observeHold(c, time.Now())
+		failed = f.deliver(ctx, c, rep, out)
+	}
+	fail = failed
+	return fail
+}
+
 // errEscalated means that an answer was discarded in favour of a larger model's answer.
 var errEscalated = errors.New("the answer was dropped to escalate to a larger model")
 
