Read a reset as one although the write of the request got its error

The server had answered without a length before it read the body, and was killed.

Cause: Linux reports the error of a socket to one system call. The waiting write of the request took the reset, and the read beside it found a regular end.

Fix: when a read ends on a connection that an error has ended, the write has ended too, and its error counts unless it is EPIPE. Entries do so for all answers, agents of the own deployment for those of their backend server, which had the same fault. An end beside an unfinished write stays a regular one.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -7,12 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/dialer"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/splitter"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
@@ -37,6 +39,14 @@
 
 func newBackend(cfg backendConfig) *backend {
 	t := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		// The transport writes a request beside reading its answer, which may have no length.
+		return dialer.ReportErrors(c), nil
+	}
 	b := &backend{cfg: cfg, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 	b.loadedVersions.Store(&[]model.VersionID{})
 	return b
--- a/internal/agent/cut_test.go
+++ b/internal/agent/cut_test.go
@@ -106,3 +106,33 @@
 		}()
 	}
 }
+
+// TestResetDuringWriteLooksWhole guards against an answer without a length that the end of its backend server cuts, and that an
+// agent takes for whole since the kernel reports the reset to the write of the request beside the read.
+func TestResetDuringWriteLooksWhole(t *testing.T) {
+	l := tester.Listen(t)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 4<<10)); err == nil {
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of")
+					time.Sleep(5 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	b := newBackend(backendConfig{URL: "http://" + l.Addr().String(), Kind: model.KindPlain})
+	for range 50 {
+		r := newRun(t.Context(), messenger.Work{Request: "a", Budget: 5 * time.Second, Method: http.MethodPost, Path: "/a", Body: make([]byte, 8<<20)}, time.Now())
+		_, _, refusal := b.call(r)
+		r.cancel()
+		if refusal == nil || refusal.Run != model.RunUnknown {
+			t.Fatalf("an answer that was cut: refusal %v, want one that says that it may have run", refusal)
+		}
+	}
+}
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -60,6 +61,8 @@
 	reused bool
 	// extend is called when a read deadline passes. It reports whether it has set a later one, for which the read waits.
 	extend func() bool
+	// sending is the write of the current request.
+	sending *sending
 	// late is set once an answer to another request came: more may follow, and they need not name their request.
 	late bool
 	// idleSince is when the connection became idle, usableUntil is when reuse ends.
@@ -81,6 +84,11 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if errors.Is(err, io.EOF) && c.sending != nil {
+			if cause := dialer.HiddenError(c.Conn, c.sending.result); cause != nil {
+				return n, fmt.Errorf("the write took the error of the connection: %w", cause)
+			}
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extend == nil || !c.extend() {
 			return n, err
 		}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -64,12 +64,11 @@
 // reply is the head of an answer whose body has not been read yet.
 type reply struct {
 	*http.Response
-	conn      *conn
-	peer      *peer
-	writeDone <-chan error
-	sending   *sending
-	stop      func() bool
-	sealed    bool
+	conn    *conn
+	peer    *peer
+	sending *sending
+	stop    func() bool
+	sealed  bool
 }
 
 // droppedConnWindow is the time within which a write to a dropped connection fails: two round trips between
@@ -96,12 +95,11 @@
 		return nil, &failure{kind: failureUnreached, cause: errRetryBudgetSpent}
 	}
 	stop := context.AfterFunc(ctx, cn.close)
-	sending := &sending{long: len(c.body) > longBodyBytes, patience: headTimeout}
+	sending := newSending(c.body, headTimeout)
+	cn.sending = sending
 	rep := &reply{conn: cn, peer: p, stop: stop, sending: sending}
-	writeDone := make(chan error, 1)
-	rep.writeDone = writeDone
 	head := f.requestHead(c, p, now)
-	c.writes.Go(func() { writeDone <- sending.send(cn.Conn, head, c.body) })
+	c.writes.Go(func() { sending.send(cn.Conn, head, c.body) })
 	until := now.Add(headTimeout)
 	if until.After(c.deadline) {
 		until = c.deadline
@@ -307,8 +305,8 @@
 		return
 	}
 	select {
-	case err := <-r.writeDone:
-		if err != nil {
+	case <-r.sending.done:
+		if r.sending.err != nil {
 			r.conn.close()
 			return
 		}
@@ -331,7 +329,7 @@
 		r.conn.close()
 		return
 	}
-	r.conn.idleSince, r.conn.usableUntil, r.conn.extend = now, now.Add(keep), nil
+	r.conn.idleSince, r.conn.usableUntil, r.conn.extend, r.conn.sending = now, now.Add(keep), nil, nil
 	r.peer.putIdleConn(r.conn)
 }
 
--- a/internal/forwarder/sending.go
+++ b/internal/forwarder/sending.go
@@ -21,6 +21,9 @@
 	patience time.Duration
 	// endedAt is when all was written, in nanoseconds of the Unix time; 0 until then.
 	endedAt atomic.Int64
+	// done is closed once the write has ended, with err.
+	done chan struct{}
+	err  error
 	// acked is how much the backend server's host had acknowledged at the last check, and unread is set if more was to
 	// come. progressAt is when a check last found that it had taken more.
 	acked      uint64
@@ -36,16 +39,26 @@
 
 func (s *sending) ended() bool { return s.endedAt.Load() != 0 }
 
-// send writes a request, which it does not copy, and returns the error of the write.
-func (s *sending) send(c net.Conn, head, body []byte) error {
+func newSending(body []byte, patience time.Duration) *sending {
+	return &sending{long: len(body) > longBodyBytes, patience: patience, done: make(chan struct{})}
+}
+
+// send writes a request, which it does not copy.
+func (s *sending) send(c net.Conn, head, body []byte) {
+	defer close(s.done)
 	if s.long {
 		// An error means that the connection is closed, which the write reports.
 		_ = dialer.SetUnacked(c, 0)
 	}
 	parts := net.Buffers{head, body}
-	_, err := parts.WriteTo(c)
+	_, s.err = parts.WriteTo(c)
 	s.endedAt.Store(time.Now().UnixNano())
-	return err
+}
+
+// result waits for the end of the write and returns its error.
+func (s *sending) result() error {
+	<-s.done
+	return s.err
 }
 
 func (s *sending) state(c net.Conn) sendState {
--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -113,3 +113,26 @@
 	}
 	return n
 }
+
+// tcpClose is the state of a TCP connection that an error has ended, TCP_CLOSE in Linux's net/tcp_states.h. One whose peer
+// has closed its side is in another one until both sides are closed.
+const tcpClose = 7
+
+// IsClosed reports whether an error has ended a TCP connection, both sides have closed it, or this process has. It is false
+// for connections of other kinds.
+func IsClosed(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = rc.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == tcpClose
+	})
+	return err != nil || closed
+}
