Bound what entries hold of heads and events that do not end

Callers would see: an entry that runs out of memory and ends, with all requests on it, because a few hundred streams run at servers that send an event, or comment lines, without end, or whole events that their callers do not take (operators' report). Here 100 such streams held 117, 99 and 114 MB with 64 MB in the settings, and 300 endless heads 40 MB.

Cause: an event may have 1 MiB and a head 64 KiB, and nothing bounded their sum; the memory for answers counted an event only while it was written.

Fix: heads and events over 32 KiB count until they end and their callers have taken them, against an eighth of the memory. While it is used up, the part with the most bytes times the time for which it is held is cut: that of an endless server rather than a large event of a sound one. The attempt fails like one that broke off, so that streams are resumed elsewhere.

TestUnfinishedPartsFillMemory fails before in four of its five cases; they hold 9 to 11 MB now, and a sound stream with events of 100 KiB beside them is whole.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -208,7 +208,12 @@
 // deliverStream forwards events as they arrive. When the stream breaks off, the next attempt resumes it
 // after the last event that the caller received.
 func (f *Forwarder) deliverStream(ctx context.Context, c *call, rep *reply, out *answerWriter) *failure {
-	events := splitter.New(rep.Body)
+	rep.part.cut = func() {
+		rep.conn.close()
+		out.cutWrites()
+	}
+	defer func() { _ = rep.part.resize(0, time.Now()) }()
+	events := splitter.NewHolding(rep.Body, func(n int) error { return rep.part.resize(n, time.Now()) })
 	silenceLimit := max(minSilenceLimit, silenceGapFactor*c.route.MaxEventGap)
 	resumed, awaitingFirst, received, delivered := c.delivered, !c.delivered, 0, 0
 	lastID := ""
@@ -225,6 +230,9 @@
 		if err == nil {
 			event, err = events.Next()
 		}
+		if rep.part.isLost() {
+			err = errPartMemory
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
@@ -278,6 +286,10 @@
 		f.answers.hold(cap(event))
 		err = out.writeEvent(event)
 		f.answers.release(cap(event))
+		// The event is held until its caller has taken it.
+		if cut := rep.part.resize(0, time.Now()); cut != nil {
+			err = cut
+		}
 		if err != nil {
 			rep.closeConn()
 			return &failure{kind: failureLeft, cause: err}
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -33,11 +33,13 @@
 
 var errHeadTooLong = errors.New("the head of the answer does not end")
 
-// headLimit reads from a connection and fails once more than left bytes were read, unless unlimited is set.
+// headLimit reads from a connection and fails once more than left bytes were read, unless unlimited is set. Until then, it
+// calls hold with the number of bytes that were read.
 type headLimit struct {
 	r         io.Reader
 	left      int
 	unlimited bool
+	hold      func(n int) error
 }
 
 // Read implements io.Reader.
@@ -50,6 +52,9 @@
 	}
 	n, err := l.r.Read(b[:min(len(b), l.left)])
 	l.left -= n
+	if holdErr := l.hold(maxHeadBytes - l.left); holdErr != nil {
+		return 0, holdErr
+	}
 	return n, err
 }
 
@@ -95,11 +100,15 @@
 	}
 }
 
-// readResponse reads the head of an answer to a request with the method.
-func (c *conn) readResponse(method string) (*http.Response, error) {
+// readResponse reads the head of an answer to a request with the method, which part counts meanwhile.
+func (c *conn) readResponse(method string, part *heldPart) (*http.Response, error) {
 	c.limit.left, c.limit.unlimited = maxHeadBytes, false
+	c.limit.hold = func(n int) error { return part.resize(headCost*n, time.Now()) }
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-	c.limit.unlimited = true
+	c.limit.unlimited, c.limit.hold = true, nil
+	if cut := part.resize(0, time.Now()); cut != nil {
+		return nil, cut
+	}
 	return resp, err
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -67,8 +67,10 @@
 	conn    *conn
 	peer    *peer
 	sending *sending
-	stop    func() bool
-	sealed  bool
+	// part is what is held of the head, or of an event.
+	part   *heldPart
+	stop   func() bool
+	sealed bool
 }
 
 // droppedConnWindow is the time within which a write to a dropped connection fails: two round trips between
@@ -97,7 +99,7 @@
 	stop := context.AfterFunc(ctx, cn.close)
 	sending := newSending(c.body, headTimeout)
 	cn.sending = sending
-	rep := &reply{conn: cn, peer: p, stop: stop, sending: sending}
+	rep := &reply{conn: cn, peer: p, stop: stop, sending: sending, part: f.parts.newPart(cn.close)}
 	head := f.requestHead(c, p, now)
 	c.writes.Go(func() { sending.send(cn.Conn, head, c.body) })
 	until := now.Add(headTimeout)
@@ -122,7 +124,7 @@
 func (f *Forwarder) readHead(ctx context.Context, c *call, rep *reply) *failure {
 	n := f.cfg.Names
 	for foreign := 0; ; foreign++ {
-		resp, err := rep.conn.readResponse(c.method)
+		resp, err := rep.conn.readResponse(c.method, rep.part)
 		if err != nil {
 			fail := classifyError(ctx, err)
 			// A reused connection that breaks at once was most likely dropped while it was idle. This is not
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -154,6 +154,7 @@
 	pace        *pace
 	bodies      *semaphore.Weighted
 	answers     heldMemory
+	parts       *partMemory
 	reserved    map[string]bool
 	// awaitingTrial counts the requests that wait for the outcome of a trial.
 	awaitingTrial atomic.Int32
@@ -205,6 +206,7 @@
 		speeds:      newSpeeds(),
 		pace:        newPace(),
 		bodies:      semaphore.NewWeighted(int64(cfg.Settings.Memory) / bodyMemoryDivisor),
+		parts:       newPartMemory(int(cfg.Settings.Memory) / unfinishedMemoryDivisor),
 		reserved:    map[string]bool{},
 	}
 	f.answers.limit = int64(cfg.Settings.Memory) / answerMemoryDivisor
@@ -371,6 +373,7 @@
 		return
 	}
 	f.cfg.Meter.SetGauge("answer_bytes_held", int(f.answers.used.Load()))
+	f.cfg.Meter.SetGauge("part_bytes_held", f.parts.bytes())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if err := f.cfg.Meter.WriteText(w); err != nil {
 		f.cfg.Log.Debug().Err(err).Msg("forwarder: writing the metrics failed")
--- a/internal/forwarder/readers.go
+++ b/internal/forwarder/readers.go
@@ -99,6 +99,12 @@
 	return o.err
 }
 
+// cutWrites ends a write that waits for the caller.
+func (o *answerWriter) cutWrites() {
+	// An error means that the connection is closed.
+	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now())
+}
+
 // broken returns the failure of an answer whose caller has a part of it. A caller that does not take the answer, or
 // holds it up until its backend server cuts it off, is no fault of the backend server.
 func (o *answerWriter) broken(fail *failure) *failure {
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -20,19 +20,33 @@
 
 // Splitter reads events from a stream.
 type Splitter struct {
-	r *bufio.Reader
+	r    *bufio.Reader
+	hold func(n int) error
 }
 
 // New returns a splitter that reads from r.
-func New(r io.Reader) *Splitter { return &Splitter{r: bufio.NewReaderSize(r, 16<<10)} }
+func New(r io.Reader) *Splitter { return NewHolding(r, func(int) error { return nil }) }
+
+// NewHolding returns a splitter that reads from r. It calls hold with the number of bytes that it holds of an event whenever that
+// has grown; an error ends the event.
+func NewHolding(r io.Reader, hold func(n int) error) *Splitter {
+	return &Splitter{r: bufio.NewReaderSize(r, 16<<10), hold: hold}
+}
 
 // Next returns the bytes of the next event including its blank line. It returns io.ErrUnexpectedEOF if
 // the stream ends inside an event, and ErrTooLarge if the event is over 1 MiB.
 func (s *Splitter) Next() ([]byte, error) {
 	var event []byte
+	held := 0
 	for {
 		line, err := s.r.ReadSlice('\n')
 		event = append(event, line...)
+		if cap(event) > held {
+			held = cap(event)
+			if err := s.hold(held); err != nil {
+				return nil, err
+			}
+		}
 		if len(event) > maxEventBytes {
 			return nil, ErrTooLarge
 		}
