Bound the answers of the store and what processes read of each other

Cause: these answers were read to their end, or decoded, without a bound.

Fix: each has one, and beyond it an error that names it. A watch with more changes than fit is followed by a list, as after a lost history, so that an entry does not stop following what changes.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -20,8 +20,12 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
-// maxPartBytes bounds each part of an answer that is not an event stream.
-const maxPartBytes = 64 << 10
+const (
+	// maxPartBytes bounds each part of an answer that is not an event stream.
+	maxPartBytes = 64 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
+)
 
 // backendConfig configures a backend.
 type backendConfig struct {
@@ -38,7 +42,7 @@
 }
 
 func newBackend(cfg backendConfig) *backend {
-	t := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
@@ -128,7 +132,7 @@
 // redactedCause describes a transport error without naming addresses.
 func redactedCause(err error) string {
 	switch {
-	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent), errors.Is(err, errPartialJSON):
+	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent), errors.Is(err, errPartialJSON), errors.Is(err, errAnswerTooLong):
 		return err.Error()
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return "the connection closed in the middle of the answer"
@@ -140,6 +144,8 @@
 var (
 	errTruncated = errors.New("the stream ended without its closing event")
 	errNoEvent   = errors.New("the stream contains text that is no event")
+	// errAnswerTooLong ends an answer that a backend server in trouble may never end.
+	errAnswerTooLong = fmt.Errorf("the answer is over %d bytes", maxAnswerBytes)
 	// errPartialJSON means that an answer without a length ended early.
 	errPartialJSON = errors.New("the answer ended in the middle of its JSON")
 )
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -27,6 +28,8 @@
 	quarantineSpreadDelay = time.Second
 	// maxCrashReportAttempts bounds how many entries the agent asks to record a crash.
 	maxCrashReportAttempts = 3
+	// maxLoadBytes bounds the list of an engine's versions.
+	maxLoadBytes = 1 << 20
 )
 
 // probe periodically updates the backend server's health and its loaded versions.
@@ -69,7 +72,7 @@
 	var v struct {
 		Versions []model.VersionID `json:"versions"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&v); err != nil {
 		return nil, fmt.Errorf("decode engine load: %w", err)
 	}
 	return v.Versions, nil
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -26,6 +26,7 @@
 	mu             sync.Mutex
 	stage          stage
 	frames         []messenger.Frame
+	answerBytes    int
 	unreadBytes    int
 	readFrames     int
 	digest         *xxhash.Digest
@@ -64,10 +65,14 @@
 	return true
 }
 
-// push appends a frame. A part frame waits while the answer has more than maxUnreadBytes unread.
+// push appends a frame. A part frame waits while the answer has more than maxUnreadBytes unread. An answer of more than
+// maxAnswerBytes is an error.
 func (r *run) push(f messenger.Frame) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.answerBytes+len(f.Data) > maxAnswerBytes {
+		return errAnswerTooLong
+	}
 	for r.unreadBytes > maxUnreadBytes && f.Kind == messenger.FramePart {
 		wait := r.changed
 		r.mu.Unlock()
@@ -89,6 +94,7 @@
 	r.digest.Write(f.Data)
 	r.frames = append(r.frames, f)
 	r.unreadBytes += len(f.Data)
+	r.answerBytes += len(f.Data)
 	r.notify()
 }
 
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -26,6 +26,8 @@
 	orphanTimeout = 10 * time.Second
 	// maxUnreadBytes bounds the unread part of one answer; the producer waits above it.
 	maxUnreadBytes = 8 << 20
+	// maxAnswerBytes bounds one answer, all of which is kept until it is acknowledged.
+	maxAnswerBytes = 64 << 20
 )
 
 // runTableConfig configures a runTable. AnswerMemory bounds the size of the kept answers in bytes.
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -22,6 +22,8 @@
 	probeInterval = time.Second
 	// Silence is how long a connection on which nothing is sent may be silent: a probe and the interval after it.
 	Silence = 2 * probeInterval
+	// maxHeadBytes is the longest head of an answer.
+	maxHeadBytes = 64 << 10
 	// idleTimeout keeps a connection open between the calls of a watch.
 	idleTimeout = 30 * time.Second
 )
@@ -65,7 +67,7 @@
 // it closes the idle ones, which may have done so with it: a repeated call would find out one after the other.
 func NewTransport(timeout time.Duration, maxIdle int) *http.Transport {
 	d := New(timeout)
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout}
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
 		if err != nil {
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -130,7 +130,7 @@
 					return "", err
 				}
 				defer resp.Body.Close()
-				b, err := ReadAll(resp.Body, progress)
+				b, err := ReadAll(resp.Body, 1<<20, progress)
 				return string(b), err
 			}
 			var calls sync.WaitGroup
--- a/internal/dialer/repeat.go
+++ b/internal/dialer/repeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 )
@@ -72,9 +73,23 @@
 	}
 }
 
-// ReadAll reads the body of an answer and calls progress for each part of it.
-func ReadAll(body io.Reader, progress func()) ([]byte, error) {
-	return io.ReadAll(&progressReader{r: body, progress: progress})
+// TooLongError reports an answer that is longer than its caller keeps.
+type TooLongError struct {
+	// Limit is the longest answer, in bytes.
+	Limit int
+}
+
+// Error returns a message with the limit.
+func (e *TooLongError) Error() string { return fmt.Sprintf("the answer is over %d bytes", e.Limit) }
+
+// ReadAll reads the body of an answer of at most limit bytes and calls progress for each part of it. It returns a *TooLongError
+// if the body is longer.
+func ReadAll(body io.Reader, limit int, progress func()) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(&progressReader{r: body, progress: progress}, int64(limit)+1))
+	if len(b) > limit {
+		return nil, &TooLongError{Limit: limit}
+	}
+	return b, err
 }
 
 type progressReader struct {
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -174,7 +174,7 @@
 		}
 		conn = tlsConn
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
 	c := jsonrpc2.NewConn(context.Background(), stream, rejectCalls{}, jsonrpc2.SetLogger(discardLogger{}))
 	if err := p.authenticate(ctx, c); err != nil {
 		c.Close()
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -105,7 +105,7 @@
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	defer func() { <-s.slots }()
 	session := &session{server: s, nonce: newNonce()}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
 	h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle).SuppressErrClosed())
 	c := jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(discardLogger{}))
 	s.mu.Lock()
--- a/internal/messenger/worker.go
+++ b/internal/messenger/worker.go
@@ -40,7 +40,7 @@
 		DialContext:     dialer.New(workDialTimeout).DialContext,
 		Protocols:       HTTP2Protocols(cfg.TLS),
 		TLSClientConfig: cfg.TLS,
-		IdleConnTimeout: time.Minute,
+		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxReplyBytes,
 		// The agent's process answers pings; its kernel acknowledges also for one that is frozen.
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pongTimeout},
 	}
@@ -67,13 +67,15 @@
 
 // FrameReader reads the frames of one answer.
 type FrameReader struct {
-	body io.ReadCloser
-	dec  *json.Decoder
+	body  io.ReadCloser
+	limit *frameLimit
+	dec   *json.Decoder
 }
 
 // Next returns the next frame; io.EOF before an end frame means that the answer was cut off.
 func (r *FrameReader) Next() (Frame, error) {
 	var f Frame
+	r.limit.left = maxFrameBytes
 	err := r.dec.Decode(&f)
 	return f, err
 }
@@ -83,7 +85,8 @@
 
 // NewFrameReader returns a reader for the frames in a response body.
 func NewFrameReader(body io.ReadCloser) *FrameReader {
-	return &FrameReader{body: body, dec: json.NewDecoder(body)}
+	limit := &frameLimit{r: body}
+	return &FrameReader{body: body, limit: limit, dec: json.NewDecoder(limit)}
 }
 
 // Start sends work to the agent at addr and returns the frames of its answer.
@@ -106,7 +109,7 @@
 	}
 	defer resp.Body.Close()
 	var reply CancelReply
-	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&reply); err != nil {
 		return model.RunUnknown, fmt.Errorf("decode cancel reply: %w", err)
 	}
 	return reply.Run, nil
--- a/internal/router/rating.go
+++ b/internal/router/rating.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -22,6 +23,8 @@
 	ratingWorkers   = 4
 	// repeatRatingShare is the share of a cascade's first answers that are rated a second time.
 	repeatRatingShare = 0.2
+	// maxRatingBytes bounds what a reply of the rating service holds beside the request.
+	maxRatingBytes = 4 << 10
 )
 
 // raterConfig configures a raterClient; with an empty URL nothing is rated.
@@ -73,7 +76,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("rating service returned status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+	// The reply may repeat the answer that was rated.
+	if err := json.NewDecoder(io.LimitReader(resp.Body, int64(2*len(body)+maxRatingBytes))).Decode(&out); err != nil {
 		return 0, fmt.Errorf("decode rating reply: %w", err)
 	}
 	return model.Quality(min(max(out.Quality, 0), 1)), nil
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -24,6 +24,8 @@
 	// fell silent. With the wait of a watch, a new connection and the repeated call it is well below the configuration
 	// lease.
 	answerLimit = 700 * time.Millisecond
+	// maxAnswerBytes is the longest answer that is read: a list of dozens of the largest objects.
+	maxAnswerBytes = 64 << 20
 )
 
 // ClientConfig configures a Client.
@@ -98,6 +100,10 @@
 	var l Listing
 	path := fmt.Sprintf("/watch?prefix=%s&from=%d", url.QueryEscape(prefix), from)
 	err := c.call(ctx, http.MethodGet, path, nil, &l, call{key: prefix, wait: max(wait, NoWait)})
+	if _, ok := errors.AsType[*dialer.TooLongError](err); ok {
+		// A list holds the last state of each object only.
+		return Listing{}, &Error{Kind: KindCompacted, Key: prefix, Cause: err}
+	}
 	return l, err
 }
 
@@ -190,7 +196,7 @@
 	}
 	defer resp.Body.Close()
 	progress()
-	b, err := dialer.ReadAll(resp.Body, progress)
+	b, err := dialer.ReadAll(resp.Body, maxAnswerBytes, progress)
 	return reply{status: resp.StatusCode, body: b}, err
 }
 
