Tell how old the answer is that cleared a trait

Callers would see: a request that crashes servers is not banned at all, and goes on to crash them, if it was answered once after two earlier crashes. Found by the tests of trials: a request that was cleared at 7 s was not banned for three crashes at 20 s.

Cause: an entry told the others again of its old answer whenever it read the old crashes anew from the store, and they took the answer for one of that moment, which clears the crashes of the last four seconds.

Fix: the message tells the age of the answer, and an answer is told once.

TestBans, "an old answer is told as a new one", fails before: nothing is banned at either entry.

--- a/internal/quarantiner/exchange.go
+++ b/internal/quarantiner/exchange.go
@@ -36,7 +36,9 @@
 type message struct {
 	Crashes []crashMessage  `json:"crashes,omitempty"`
 	Proven  []model.TraitID `json:"proven,omitempty"`
-	Tried   []model.TraitID `json:"tried,omitempty"`
+	// Age is how long ago the answers were that cleared them, in milliseconds.
+	Age   int64           `json:"age,omitempty"`
+	Tried []model.TraitID `json:"tried,omitempty"`
 }
 
 // crashMessage is a crash with the suspects that the sender does not know to be harmless.
@@ -101,7 +103,8 @@
 		q.endTrials(c.Traits)
 	}
 	for _, t := range m.Proven {
-		q.evidence.prove(t, 0, now, false)
+		// An old answer must not clear the crashes that came after it.
+		q.evidence.prove(t, 0, pastTime(now.UnixMilli()-min(max(m.Age, 0), banDuration.Milliseconds()), now), false)
 	}
 	for _, t := range m.Tried[:min(len(m.Tried), maxMessageTraits)] {
 		if len(q.trying) < maxTrials {
@@ -124,7 +127,7 @@
 			clear(q.doubted)
 		}
 		if q.doubted[t.ID]++; q.doubted[t.ID] >= banThreshold-1 {
-			q.tellProven(t.ID, now)
+			q.tellProven(t.ID, q.evidence.proven[t.ID].own, now)
 		}
 	}
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -42,7 +42,7 @@
 	maxCrashes, maxSuspects, maxAccusations = 256, 2048, 16_384
 	// maxUnsent bounds the messages that wait while no gossip is sent; the published evidence has their content.
 	maxUnsent = 1024
-	// tellInterval is the least time between two messages that clear the same trait.
+	// tellInterval is the least time between two answers of which the others are told that they clear the same trait.
 	tellInterval = time.Second
 	// maxProven is the number of proven traits from which old ones are deleted.
 	maxProven = 20_000
@@ -79,8 +79,8 @@
 	// unjudged is set while the evidence has changed since judgedAt, when the bans were last brought up to date.
 	unjudged bool
 	judgedAt time.Time
-	// own holds the crashes that this entry saw, and told when it last told the others that one of its answers
-	// cleared a trait. Both are published.
+	// own holds the crashes that this entry saw, and told the time of the last of its answers of which it told the others
+	// that it cleared a trait. Both are published.
 	own  map[model.ServerLifetime]*crashMessage
 	told map[model.TraitID]time.Time
 	// doubted counts the crashes for which other entries suspect a trait that an answer at this one has cleared.
@@ -163,7 +163,7 @@
 		suspected := q.evidence.crashCount(t.ID) >= banThreshold-1
 		q.evidence.prove(t.ID, t.Depth, now, true)
 		if suspected {
-			q.tellProven(t.ID, now)
+			q.tellProven(t.ID, now, now)
 			cleared = true
 		}
 	}
@@ -172,13 +172,13 @@
 	}
 }
 
-// tellProven publishes that an answer of this entry cleared a trait. The caller holds the lock.
-func (q *Quarantiner) tellProven(t model.TraitID, now time.Time) {
-	if last, ok := q.told[t]; ok && now.Sub(last) < tellInterval {
+// tellProven publishes that an answer of this entry, which came at a time, cleared a trait. The caller holds the lock.
+func (q *Quarantiner) tellProven(t model.TraitID, at, now time.Time) {
+	if last, ok := q.told[t]; ok && at.Sub(last) < tellInterval {
 		return
 	}
-	q.told[t] = now
-	q.send(message{Proven: []model.TraitID{t}})
+	q.told[t] = at
+	q.send(message{Proven: []model.TraitID{t}, Age: now.Sub(at).Milliseconds()})
 }
 
 // judgeIfDue brings the bans up to date with the evidence, if it has changed, once in judgeInterval.
