Plan a stop from the grace period that is in force

Cause: a reload applied some fields only, and the stop was planned from the grace period of the start. The log says that the file was read, and the end came at 3.5 s of the old 4.

Fix: the forwarder, the wait for other tasks and the end of the log go by the period that is in force when the stop begins. Roll-outs that begin after a reload go by the new exposure bound, which was copied at the start too.

TestStopGoesByOldGrace fails before: 0.93 s of a period raised to 4 s, 5.7 s of one lowered to 2 s.

--- a/internal/cli/direct.go
+++ b/internal/cli/direct.go
@@ -73,9 +73,9 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Memory)))
 	m := meter.New()
 	lines := logger.NewBoundedWriter(out, func(n int) { m.Count("log/lost", n) })
-	end := time.Now().Add(s.Grace)
+	grace, end := s.Grace, time.Now().Add(s.Grace)
 	// Close fails only if the log has no reader any more, so the error cannot be logged.
-	defer func() { _ = lines.CloseWithin(time.Until(end.Add(-forwarder.ExitMargin(s.Grace) / 4))) }()
+	defer func() { _ = lines.CloseWithin(time.Until(end.Add(-forwarder.ExitMargin(grace) / 4))) }()
 	log := logger.New(lines, model.LogSettings{Level: d.logLevel, Format: "json"}, s.Instance)
 	listeners, err := listenDirect(s, log)
 	if err != nil {
@@ -167,7 +167,12 @@
 		d.watchSettings(runCtx, log, hup, text, func(s model.DirectSettings) {
 			platformState.SetMaxKeyAge(s.MaxKeyAge)
 			f.SetRetryBudget(s.RetryBudget)
+			if ctx.Err() == nil {
+				// A stop that has begun goes by one period everywhere.
+				f.SetGrace(s.Grace)
+			}
 			cold.SetBound(s.Cold)
+			rollouts.SetExposure(s.Exposure)
 		})
 	})
 	served := make(chan error, 1)
@@ -179,8 +184,9 @@
 	case <-ctx.Done():
 	case <-runCtx.Done():
 	}
-	end = time.Now().Add(s.Grace)
-	left := t.await(end.Add(-forwarder.ExitMargin(s.Grace) / 2))
+	grace = f.Grace()
+	end = time.Now().Add(grace)
+	left := t.await(end.Add(-forwarder.ExitMargin(grace) / 2))
 	select {
 	case err = <-served:
 	default:
--- a/internal/cli/stop_test.go
+++ b/internal/cli/stop_test.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +21,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/platform"
+	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
 
 // lockedBuffer is a log that may be written and read at the same time.
@@ -125,6 +129,63 @@
 	}
 }
 
+// TestStopGoesByOldGrace guards against a stop that cuts requests, or outlasts the grace period and is killed, because it goes by
+// the grace period of the start although the settings have changed.
+func TestStopGoesByOldGrace(t *testing.T) {
+	for _, c := range []struct{ before, after time.Duration }{{time.Second, 4 * time.Second}, {6 * time.Second, 2 * time.Second}} {
+		t.Run(fmt.Sprintf("%v to %v", c.before, c.after), func(t *testing.T) {
+			store := httptest.NewServer(standin.NewStore())
+			defer store.Close()
+			front, ready, port := unusedAddress(t), unusedAddress(t), unusedAddress(t).Port()
+			settings := func(grace time.Duration) []byte {
+				return fmt.Appendf(nil, "node = \"e0\"\nip = \"127.0.0.1\"\nport-range = [%d,0]\n[listen]\nfront = %q\nready = %q\n[limits]\nmemory-mb = 64\n"+
+					"[bounds]\ngrace-s = %v\nbudget-window-s = 10\n[platform]\naddress = %q\n", port, front, ready, grace.Seconds(), store.Listener.Addr())
+			}
+			path := filepath.Join(t.TempDir(), "settings")
+			if err := os.WriteFile(path, settings(c.before), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			t.Setenv(platform.SettingsVariable, path)
+			s, err := platform.ParseSettings(settings(c.before))
+			if err != nil {
+				t.Fatal(err)
+			}
+			log := &lockedBuffer{}
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			done, hup := make(chan error, 1), make(chan os.Signal, 1)
+			d := &directCommand{logLevel: "info"}
+			go func() { done <- d.serve(ctx, s, settings(c.before), log, hup) }()
+			awaitAnswer(t, "http://"+ready.String())
+			if err := os.WriteFile(path, settings(c.after), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			hup <- syscall.SIGHUP
+			for end := time.Now().Add(5 * time.Second); !strings.Contains(log.text(), "settings reloaded"); time.Sleep(5 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("the settings were not read again: %s", log.text())
+				}
+			}
+			// The head of a request that does not end keeps the stop waiting for as long as it may.
+			caller, err := net.Dial("tcp", front.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer caller.Close()
+			io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a.ex")
+			began := time.Now()
+			stop()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+			// The margins at the end of the grace period take an eighth of it at most.
+			if took := time.Since(began); took < c.after*3/4 || took >= c.after {
+				t.Errorf("the stop took %v, want nearly the new grace period of %v", took, c.after)
+			}
+		})
+	}
+}
+
 // unusedAddress returns an address on which nothing listens.
 func unusedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -160,6 +160,8 @@
 	awaitingTrial atomic.Int32
 	// unreadableConfidence logs the first confidence that is no percentage.
 	unreadableConfidence sync.Once
+	// grace is the time that a stop has, in nanoseconds.
+	grace atomic.Int64
 	// stop is nil while the entry does not stop.
 	stop atomic.Pointer[stopPlan]
 	// running ends the requests that a stop cuts.
@@ -211,6 +213,7 @@
 	}
 	f.answers.limit = int64(cfg.Settings.Memory) / answerMemoryDivisor
 	f.running = acceptor.NewRunning()
+	f.SetGrace(cfg.Settings.Grace)
 	for _, name := range cfg.Names.Reserved {
 		f.reserved[http.CanonicalHeaderKey(name)] = true
 	}
@@ -225,6 +228,12 @@
 	f.retryBudget.Configure(s.Ratio, s.Window)
 }
 
+// SetGrace changes the time that a stop has which begins later.
+func (f *Forwarder) SetGrace(grace time.Duration) { f.grace.Store(int64(grace)) }
+
+// Grace returns the time that a stop has.
+func (f *Forwarder) Grace() time.Duration { return time.Duration(f.grace.Load()) }
+
 // Listeners holds the sockets of a forwarder; Metrics may be nil.
 type Listeners struct {
 	Callers, Ready, Metrics net.Listener
@@ -272,7 +281,7 @@
 
 func (f *Forwarder) gracefulStop(front *acceptor.Acceptor) {
 	start := time.Now()
-	p := planStop(f.cfg.Settings.Grace, start)
+	p := planStop(f.Grace(), start)
 	f.stop.Store(&p)
 	defer time.AfterFunc(time.Until(p.cutAt), f.running.Cut).Stop()
 	f.cfg.Log.Info().Int64("running", front.Running()).Msg("forwarder: shutting down, no longer ready")
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -63,7 +63,9 @@
 type Shifter struct {
 	cfg Config
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// exposure is the bound for roll-outs that begin from now on.
+	exposure float64
 	rollouts map[model.ServiceID]*rollout
 	// firstSeen holds when each version of a service was first seen.
 	firstSeen map[model.ServiceID]map[model.VersionID]time.Time
@@ -112,7 +114,16 @@
 
 // New returns a shifter.
 func New(cfg Config) *Shifter {
-	return &Shifter{cfg: cfg, rollouts: map[model.ServiceID]*rollout{}, firstSeen: map[model.ServiceID]map[model.VersionID]time.Time{}}
+	return &Shifter{
+		cfg: cfg, exposure: cfg.Exposure, rollouts: map[model.ServiceID]*rollout{}, firstSeen: map[model.ServiceID]map[model.VersionID]time.Time{},
+	}
+}
+
+// SetExposure changes the exposure bound for roll-outs that begin later.
+func (s *Shifter) SetExposure(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exposure = share
 }
 
 // sameOrder reports whether a and b are the same order for the same version.
@@ -141,7 +152,7 @@
 		s.cfg.Log.Info().Str("service", string(service)).Str("version", string(o.Version)).Int("stage", int(r.stage)).Bool("bad", r.bad).
 			Str("state", string(r.decided)).Msg("shifter: roll-out goes on after a restore of the store")
 	} else if r == nil || !sameOrder(r.order, o) {
-		r = &rollout{stageSeen: now, evaluator: newEvaluator(), schedule: newSchedule(o.Duration, s.cfg.Exposure)}
+		r = &rollout{stageSeen: now, evaluator: newEvaluator(), schedule: newSchedule(o.Duration, s.exposure)}
 		s.rollouts[service] = r
 		m, _, _ := s.storedStage(o)
 		r.previous = previousVersion(previousInput{order: o, servers: s.cfg.PlatformState.Servers(service, now), lastOrdered: m.Version, stage: m.Stage})
