Run requests once that must, however weak their answers

Cause: what may be sent again was tested where an attempt fails, and an answer that is dropped for a larger model's is no failure. The log names the decision to escalate for each, so that it is no broken connection.

Fix: one function says how many more servers may run a request, and the cascade reads it, also for trials of banned requests. A request that must run once goes to the largest model, since a weak answer could not be replaced.

--- a/internal/forwarder/cascade.go
+++ b/internal/forwarder/cascade.go
@@ -54,7 +54,11 @@
 		PromptTokens: model.Tokens(c.prompt.tokens), Models: models,
 	})
 	first := f.cascade.First(models)
-	if f.usesLearned(c, now) {
+	switch {
+	case !isRetryable(c):
+		// A weak answer could not be replaced by a larger model's.
+		first = models[len(models)-1]
+	case f.usesLearned(c, now):
 		c.cascade.start = f.cascade.Start(f.cascadeInput(c, "start", now), now)
 		first = c.cascade.start.Model
 	}
@@ -102,7 +106,7 @@
 // cascadeInput gathers what the models of a call cost now. The purpose separates the random numbers of a call.
 func (f *Forwarder) cascadeInput(c *call, purpose string, now time.Time) chooser.CascadeInput {
 	in := chooser.CascadeInput{
-		Keys: c.cascade.keys, Rank: c.rank, Attempts: c.route.Attempts - c.sent,
+		Keys: c.cascade.keys, Rank: c.rank, Attempts: c.attemptsLeft(),
 		RetryAllowed: f.retryBudget.CanRetry(c.service.Service, retryReserveRatio, now),
 		TimeLeft:     f.timeLeft(c, now), Elapsed: now.Sub(c.start), LatencyTarget: c.route.LatencyTarget,
 		Draw:    hasher.ToUnitInterval(string(f.cfg.Settings.Instance) + "\x00" + c.id + "\x00" + purpose),
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -332,6 +332,16 @@
 	return release, nil
 }
 
+// attemptsLeft returns how many more backend servers may run the request: none after the first if it must run once, or is
+// a trial.
+func (c *call) attemptsLeft() int {
+	left := c.route.Attempts - c.sent
+	if c.trial || !isRetryable(c) {
+		left = min(left, 1-c.sent)
+	}
+	return max(left, 0)
+}
+
 // computeFingerprint returns a hash of the method, host, path, organisation and body.
 func (c *call) computeFingerprint() uint64 {
 	d := xxhash.New()
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -309,7 +309,7 @@
 // escalate decides whether to discard an answer and ask a larger model, and sets that model on the call.
 func (f *Forwarder) escalate(c *call, rep *reply) bool {
 	// The answer of a service without engines tells nothing of the models, and no larger one can be asked there.
-	if c.delivered || len(c.route.Models) == 0 || c.service.Engine == nil || c.trial || !rep.isSuccess() {
+	if c.delivered || len(c.route.Models) == 0 || c.service.Engine == nil || !rep.isSuccess() {
 		return false
 	}
 	confidence := f.confidence(rep)
@@ -323,7 +323,7 @@
 	f.modelWaits.observe(c, larger, choice, engines, now)
 	step := f.chooseNext(c, chooser.EscalationInput{
 		Models: c.route.Models, Ran: c.model, Confidence: confidence, Rank: c.rank,
-		Attempts:       c.route.Attempts - c.sent,
+		Attempts:       c.attemptsLeft(),
 		RetryAllowed:   choice.Found && f.retryBudget.CanRetry(c.service.Service, retryReserveRatio, now),
 		Utilisation:    choice.Utilisation,
 		AnswerDuration: choice.Wait + f.speeds.estimateAnswer(larger, c.service.Engine, c.prompt.outputTokens),
