Wait for a silent server while other entries fill the others

Cause: whether another server is free was told from its last report alone, while the choice of a server also counts what other entries have open there.

Fix: a server whose slots the requests of all entries take is no alternative.

TestSilenceEndsAnswerWithoutAlternative fails before in two new rows; the third shows that a stream is still resumed where others have some work.

--- a/internal/forwarder/peers.go
+++ b/internal/forwarder/peers.go
@@ -218,11 +218,15 @@
 	p.lastUsed = now
 }
 
-// maySend reports whether the peer's breaker is closed and its last report does not say that its slots are taken.
-func (p *peer) maySend(slots int, now time.Time) bool {
+// maySend reports whether the peer's breaker is closed and its slots are not taken, by its last report or by the work that
+// this entry and others have open there.
+func (p *peer) maySend(slots int, others gossiper.OpenWork, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	full := now.Sub(p.reportedAt) < reportMaxAge && p.running+p.waiting >= slots
+	if slots = orDefault(slots, p.slots); slots > 0 {
+		full = full || p.unanswered+others.Unanswered >= slots
+	}
 	return !full && !p.breaker.IsOpen(now)
 }
 
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -42,7 +42,7 @@
 		if s.Backend == p.server.Backend || !f.cfg.Announcements.Check(s, now).Allowed() {
 			continue
 		}
-		if f.peers.get(s, now).maySend(s.Slots, now) {
+		if f.peers.get(s, now).maySend(s.Slots, f.remoteWork(s.Backend, now), now) {
 			return true
 		}
 	}
--- a/internal/forwarder/trouble_test.go
+++ b/internal/forwarder/trouble_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/gossiper"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
+	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
 // TestLateCopy checks that a copy of an answer which arrives while its connection is in use again does not
@@ -95,6 +97,7 @@
 		Name, Path        string
 		Attempts, Servers int
 		Full              bool
+		Told              int
 		Replies           []string
 		Result            `yaml:",inline"`
 	}
@@ -108,6 +111,7 @@
 			}
 			servers := b.start(c.Servers)
 			e := startEntry(t, &fakeState{plan: plan, servers: servers})
+			e.cfg.RemoteWork = func(model.BackendID, time.Time) gossiper.OpenWork { return gossiper.OpenWork{Unanswered: c.Told} }
 			for _, s := range servers {
 				if c.Full {
 					// The report is as of a time shortly before the question comes up.
