--- a/internal/soaker/announcements.go
+++ b/internal/soaker/announcements.go
@@ -62,7 +62,8 @@
 }
 
 // checkRests checks that a backend server which asked an entry for rest gets no more than maxInRest requests from it
-// between restGrace later and the end of that time. A restart, freeze or cut of the entry excuses it.
+// between restGrace later and the end of that time. A restart or freeze of the entry excuses it. While a fault of the
+// server's link keeps its answers back, the entry has not been asked.
 func checkRests(h history) []violation {
 	requests := map[string]record{}
 	for _, r := range h.Records {
@@ -75,9 +76,10 @@
 			continue
 		}
 		entry := requests[asked.ID].Entry
+		from := h.passedOn(asked.Server, asked.At).Add(restGrace)
 		n := 0
 		for _, a := range h.Arrivals {
-			if a.Server == asked.Server && requests[a.ID].Entry == entry && a.At.After(asked.At.Add(restGrace)) && a.At.Before(asked.At.Add(asked.Rest)) {
+			if a.Server == asked.Server && requests[a.ID].Entry == entry && a.At.After(from) && a.At.Before(asked.At.Add(asked.Rest)) {
 				n++
 			}
 		}
@@ -88,3 +90,15 @@
 	}
 	return out
 }
+
+// passedOn returns when what a backend server sent at a time got through its link: at once, or at the end of the faults that
+// kept it back.
+func (h history) passedOn(server string, at time.Time) time.Time {
+	out := at
+	for _, s := range h.Spans {
+		if (s.Kind == serverOneWay || s.Kind == serverSilent) && s.Target == server && s.From.Before(at) && s.To.After(out) {
+			out = s.To
+		}
+	}
+	return out
+}
