Record the end of a server that drained as what breaks its answers off

The end is recorded as a crash now, as that of server-leaves was; both go through one function. What broke off before it is explained by nothing new.

TestEndOfDrainExcusesNothing fails before for server-drains.

--- a/internal/soaker/announcements.go
+++ b/internal/soaker/announcements.go
@@ -24,7 +24,12 @@
 	srv.addFaults(standin.ServerFaults{Leaving: true})
 	sleep(ctx, inj.Length)
 	s.store.Remove("servers/" + id)
-	from := time.Now()
+	s.endServer(srv)
+}
+
+// endServer ends a backend server, which breaks off what it still answers, and starts another in its place.
+func (s *soak) endServer(srv *serverSlot) {
+	id, from := srv.id(), time.Now()
 	srv.crash()
 	s.reportError(srv.launch())
 	s.updateHistory(func(h *history) { h.Spans = append(h.Spans, faultSpan{serverCrash, id, from, time.Now()}) })
--- a/internal/soaker/checker_test.go
+++ b/internal/soaker/checker_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -238,3 +239,31 @@
 		})
 	}
 }
+
+// TestEndOfDrainExcusesNothing guards against a backend server that ends after its drain, breaks off what it still answers,
+// and is not recorded as the cause.
+func TestEndOfDrainExcusesNothing(t *testing.T) {
+	for _, kind := range []fault{serverDrain, serverLeave} {
+		s := &soak{store: standin.NewStore(), entries: []*entry{{}}}
+		srv := &serverSlot{service: "desk", zone: "a-1", store: s.store}
+		if err := srv.launch(); err != nil {
+			t.Fatal(err)
+		}
+		s.servers = append(s.servers, srv)
+		id, begun := srv.id(), time.Now()
+		// The faults do not wait once their run has ended.
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		s.inject(ctx, Injection{Kind: kind})
+		ended := time.Now()
+		srv.crash()
+		request := tracedRequest{record: record{Entry: "entry-0", Begun: begun, Ended: ended}, arrivals: []standin.Arrival{{Server: id, At: begun}}}
+		if !request.brokeOff(s.history) {
+			t.Errorf("%s: the end of the server does not explain an answer that broke off: %+v", kind, s.history.Spans)
+		}
+		request.Ended = begun.Add(-time.Second)
+		if request.brokeOff(s.history) {
+			t.Errorf("%s: the end of the server explains an answer that broke off before", kind)
+		}
+	}
+}
--- a/internal/soaker/injector.go
+++ b/internal/soaker/injector.go
@@ -157,8 +157,7 @@
 		s.updateHistory(func(h *history) { h.Drains = append(h.Drains, drainStart{Server: id, At: time.Now()}) })
 		sleep(ctx, standin.DrainMs*time.Millisecond+time.Second)
 		s.store.Remove("servers/" + id)
-		srv.crash()
-		s.reportError(srv.launch())
+		s.endServer(srv)
 	case serverSilent:
 		s.disturbLink(ctx, srv.link, link{stallForward: true, stallBack: true}, inj.Length)
 	case serverOneWay:
