--- a/internal/follower/relay_test.go
+++ b/internal/follower/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,8 @@
 type gatedStore struct {
 	storer.Store
 	calls atomic.Int64
+	// planWatches counts the watches of the plan.
+	planWatches atomic.Int64
 
 	mu  sync.Mutex
 	cut context.CancelFunc
@@ -65,6 +68,9 @@
 }
 
 func (g *gatedStore) Watch(ctx context.Context, kind string, from model.Revision, wait time.Duration) (storer.Listing, error) {
+	if kind == "plans" {
+		g.planWatches.Add(1)
+	}
 	return g.pass(ctx, kind, func(ctx context.Context) (storer.Listing, error) { return g.Store.Watch(ctx, kind, from, wait) })
 }
 
@@ -175,6 +181,10 @@
 		}
 		return n
 	}
+	// Each entry begins one watch of the plan by itself after its first list, which is no call for a change.
+	await(t, "a first watch of the plan at each entry", 5*time.Second, func() bool {
+		return !slices.ContainsFunc(pollers, func(i int) bool { return fl.stores[i].planWatches.Load() == 0 })
+	})
 	before := calls()
 	for n := range 4 {
 		id := fmt.Sprint("b", n+2)
