Close connections that began with a lower limit for headers

Cause: net/http has one limit for a server; connections that begin after a change go to a new one, and older ones stay. New connections took such heads at once, so that it is not the plan that came late.

Fix: idle connections with a lower limit than the present one are closed within a quarter of a second, the way a stop closes them, and others after their next answer. A lowered limit closes nothing.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -35,7 +35,8 @@
 }
 
 // Acceptor serves callers' connections. net/http applies its limits when a connection starts, so
-// connections that start after a change of the limits go to a new server.
+// connections that start after a change of the limits go to a new server, and older ones end if the limit for headers was
+// raised.
 type Acceptor struct {
 	cfg      Config
 	handler  http.Handler
@@ -90,7 +91,7 @@
 			c.logCrossed(id)
 			panic(http.ErrAbortHandler)
 		}
-		if a.draining.Load() {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); a.draining.Load() || ok && c.headerBytes < cfg.Limits().HeaderBytes {
 			w.Header().Set("Connection", "close")
 		}
 		cfg.Handler.ServeHTTP(w, r)
@@ -104,6 +105,7 @@
 	a.mu.Lock()
 	a.listener = l
 	a.mu.Unlock()
+	go a.closeLowerLimits(a.accepted)
 	for {
 		conn, err := l.Accept()
 		if err != nil {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -38,6 +38,8 @@
 type callerConn struct {
 	net.Conn
 	cfg Config
+	// headerBytes is the limit for headers that holds on it.
+	headerBytes int
 	// released is called once the connection is closed on both sides.
 	released func(*callerConn)
 
@@ -278,7 +280,7 @@
 
 // track adds a connection that was just accepted.
 func (g *generation) track(conn net.Conn, now time.Time) *callerConn {
-	c := &callerConn{Conn: conn, cfg: g.cfg, since: now, released: g.release}
+	c := &callerConn{Conn: conn, cfg: g.cfg, headerBytes: g.limits.HeaderBytes, since: now, released: g.release}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns[c] = true
