Read trials in two files, and reset a held event in one place

A refused request no longer logs a placement while it looks for a server that could be tried. An event that the caller has already is given back like one that it took.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -221,6 +221,11 @@
 	streamStart := time.Now()
 	lastData := streamStart
 	for {
+		// The last event was held until its caller had taken it.
+		if err := rep.part.resize(0, time.Now()); err != nil {
+			rep.closeConn()
+			return out.broken(&failure{kind: failureBroken, cause: err})
+		}
 		until := lastData.Add(silenceLimit)
 		if until.After(c.deadline) {
 			until = c.deadline
@@ -286,9 +291,8 @@
 		f.answers.hold(cap(event))
 		err = out.writeEvent(event)
 		f.answers.release(cap(event))
-		// The event is held until its caller has taken it.
-		if cut := rep.part.resize(0, time.Now()); cut != nil {
-			err = cut
+		if rep.part.isLost() {
+			err = errPartMemory
 		}
 		if err != nil {
 			rep.closeConn()
--- a/internal/forwarder/serve.go
+++ b/internal/forwarder/serve.go
@@ -131,15 +131,15 @@
 		p.finishAttempt(c.attempt, time.Now())
 		p.endAttempt(c.attempt, fail, time.Now())
 	}()
-	rep, failed := f.exchange(ctx, c, p, f.headTimeout(c))
-	if removeBacklog(); failed == nil {
+	rep, outcome := f.exchange(ctx, c, p, f.headTimeout(c))
+	if removeBacklog(); outcome == nil {
 		p.recordCachedPrefix(c.prefixKey(c.model), time.Now())
 		f.takeShare(c, time.Now())
 		f.observeHold(c, time.Now())
-		failed = f.deliver(ctx, c, rep, out)
+		outcome = f.deliver(ctx, c, rep, out)
 	}
-	fail = failed
-	return fail
+	fail = outcome
+	return outcome
 }
 
 // errEscalated means that an answer was discarded in favour of a larger model's answer.
--- a/internal/forwarder/suspects.go
+++ b/internal/forwarder/suspects.go
@@ -215,7 +215,7 @@
 	for _, s := range f.candidates(c, now) {
 		c.tried[s.Backend] = f.cfg.Quarantine.HasCrashed(s.Lifetime(), now)
 	}
-	if _, ok := f.pickCandidate(c, f.candidates(c, now), now); !ok || f.isStopping() || !f.cfg.Quarantine.ClaimTrial(ctx, c.traits, now) {
+	if len(f.candidates(c, now)) == 0 || f.isStopping() || !f.cfg.Quarantine.ClaimTrial(ctx, c.traits, now) {
 		clear(c.tried)
 		return false
 	}
--- a/internal/forwarder/suspects_test.go
+++ b/internal/forwarder/suspects_test.go
@@ -172,15 +172,19 @@
 // TestCrashUnderReusedConnection checks that a request whose backend server crashes under a reused connection may
 // still be sent to as many others as its route allows: the server that ended does not count as an attempt.
 func TestCrashUnderReusedConnection(t *testing.T) {
-	b := &backends{t: t, replies: []string{"ok", "crash", "reset", "reset", "ok"}}
+	b := &backends{t: t, replies: []string{"ok"}}
 	servers := b.start(4)
 	state := &fakeState{plan: testPlan(), servers: servers[:1]}
 	e := startEntry(t, state)
-	if status := postPrompt(t, e, "/safe/a", "request-1", ""); status != http.StatusOK {
-		t.Fatalf("first request: status %d, want 200", status)
-	}
+	leaveIdleConn(t, e.peers.get(servers[0], time.Now()), func() {
+		if status := postPrompt(t, e, "/safe/a", "request-1", ""); status != http.StatusOK {
+			t.Fatalf("first request: status %d, want 200", status)
+		}
+	})
+	b.mu.Lock()
+	b.arrivals, b.replies = nil, []string{"crash", "reset", "reset", "ok"}
+	b.mu.Unlock()
 	state.servers = servers
-	e.peers.get(servers[0], time.Now())
 	for _, s := range servers[1:] {
 		e.peers.get(s, time.Now()).recordLoad("8,8,8", time.Now())
 	}
