--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -75,17 +75,6 @@
 }
 func (allVersions) Observe(Outcome, time.Time) {}
 
-// fakeQuarantine bans nothing and ignores crashes.
-type fakeQuarantine struct{}
-
-func (fakeQuarantine) IsBanned([]model.Trait, time.Time) bool                     { return false }
-func (fakeQuarantine) ClaimTrial(context.Context, []model.Trait, time.Time) bool  { return false }
-func (fakeQuarantine) ReturnTrial([]model.Trait, time.Time)                       {}
-func (fakeQuarantine) IsTried([]model.Trait, time.Time) bool                      { return false }
-func (fakeQuarantine) HasCrashed(model.ServerLifetime, time.Time) bool            { return false }
-func (fakeQuarantine) RecordCrash(model.ServerLifetime, []model.Trait, time.Time) {}
-func (fakeQuarantine) RecordProven([]model.Trait, time.Time)                      {}
-
 // backends is a group of backend servers that follow one script: the n-th request that arrives gets the
 // n-th reply.
 type backends struct {
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -22,6 +22,7 @@
 // send without end would use up the memory of all. While it is used up, the part with the most bytes times the time for which it is
 // held is cut: those of sound servers are small, or end soon.
 type partMemory struct {
+	// limit is 0 if the settings name no memory; nothing is cut then.
 	limit int
 
 	mu   sync.Mutex
@@ -89,7 +90,7 @@
 // cutLongest takes parts out until the others fit into the limit. The caller holds the lock.
 func (m *partMemory) cutLongest(now time.Time) []*heldPart {
 	var out []*heldPart
-	for m.used > m.limit {
+	for m.limit > 0 && m.used > m.limit {
 		var worst *heldPart
 		for h := range m.held {
 			if worst == nil || h.weight(now) > worst.weight(now) {
--- a/internal/forwarder/memory_test.go
+++ b/internal/forwarder/memory_test.go
@@ -101,17 +101,19 @@
 	}
 	for _, tc := range []struct {
 		name  string
+		limit int
 		steps []step
 	}{
-		{"small parts do not count", []step{{0, "a", 30 * kb, nil}, {0, "b", 30 * kb, nil}, {0, "c", 30 * kb, nil}, {0, "d", 30 * kb, nil}}},
-		{"the one that is held longest", []step{{0, "a", 50 * kb, nil}, {time.Second, "b", 40 * kb, nil}, {1100 * time.Millisecond, "c", 50 * kb, []string{"a"}}, {1200 * time.Millisecond, "a", 60 * kb, []string{"a"}}}},
-		{"the largest", []step{{0, "a", 40 * kb, nil}, {0, "b", 70 * kb, []string{"b"}}}},
-		{"one that grows without end is cut itself", []step{{0, "a", 40 * kb, nil}, {time.Second, "a", 60 * kb, nil}, {2 * time.Second, "a", 120 * kb, []string{"a"}}}},
-		{"a part that ended counts no more", []step{{0, "a", 90 * kb, nil}, {time.Second, "a", 0, nil}, {time.Second, "a", 80 * kb, nil}, {2 * time.Second, "b", 40 * kb, []string{"a"}}}},
-		{"a large event that ends soon is not cut", []step{{0, "a", 40 * kb, nil}, {time.Second, "b", 40 * kb, nil}, {5 * time.Second, "c", 60 * kb, []string{"a"}}, {5100 * time.Millisecond, "c", 0, nil}}},
+		{"no limit", 0, []step{{0, "a", 900 * kb, nil}, {time.Second, "b", 900 * kb, nil}}},
+		{"small parts do not count", 100 * kb, []step{{0, "a", 30 * kb, nil}, {0, "b", 30 * kb, nil}, {0, "c", 30 * kb, nil}, {0, "d", 30 * kb, nil}}},
+		{"the one that is held longest", 100 * kb, []step{{0, "a", 50 * kb, nil}, {time.Second, "b", 40 * kb, nil}, {1100 * time.Millisecond, "c", 50 * kb, []string{"a"}}, {1200 * time.Millisecond, "a", 60 * kb, []string{"a"}}}},
+		{"the largest", 100 * kb, []step{{0, "a", 40 * kb, nil}, {0, "b", 70 * kb, []string{"b"}}}},
+		{"one that grows without end is cut itself", 100 * kb, []step{{0, "a", 40 * kb, nil}, {time.Second, "a", 60 * kb, nil}, {2 * time.Second, "a", 120 * kb, []string{"a"}}}},
+		{"a part that ended counts no more", 100 * kb, []step{{0, "a", 90 * kb, nil}, {time.Second, "a", 0, nil}, {time.Second, "a", 80 * kb, nil}, {2 * time.Second, "b", 40 * kb, []string{"a"}}}},
+		{"a large event that ends soon is not cut", 100 * kb, []step{{0, "a", 40 * kb, nil}, {time.Second, "b", 40 * kb, nil}, {5 * time.Second, "c", 60 * kb, []string{"a"}}, {5100 * time.Millisecond, "c", 0, nil}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			m := newPartMemory(100 * kb)
+			m := newPartMemory(tc.limit)
 			parts := map[string]*heldPart{}
 			for i, s := range tc.steps {
 				var cut []string
--- a/internal/forwarder/suspects_test.go
+++ b/internal/forwarder/suspects_test.go
@@ -20,6 +20,17 @@
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
+// fakeQuarantine bans nothing and ignores crashes.
+type fakeQuarantine struct{}
+
+func (fakeQuarantine) IsBanned([]model.Trait, time.Time) bool                     { return false }
+func (fakeQuarantine) ClaimTrial(context.Context, []model.Trait, time.Time) bool  { return false }
+func (fakeQuarantine) ReturnTrial([]model.Trait, time.Time)                       {}
+func (fakeQuarantine) IsTried([]model.Trait, time.Time) bool                      { return false }
+func (fakeQuarantine) HasCrashed(model.ServerLifetime, time.Time) bool            { return false }
+func (fakeQuarantine) RecordCrash(model.ServerLifetime, []model.Trait, time.Time) {}
+func (fakeQuarantine) RecordProven([]model.Trait, time.Time)                      {}
+
 // recordingQuarantine records what a forwarder reports. It bans the trait banned, and allows some trials of it.
 type recordingQuarantine struct {
 	banned model.TraitID
