Refuse answers with a field whose name is no token

Callers saw: answers with a blank in or behind a field's name as answers, with every status. Behind Content-Length six bytes came where the server said three; behind Transfer-Encoding the frames of the chunks were the body; behind Content-Encoding an encoded body passed; behind the id an answer to another request counted as this one's. Not-Run, Leaving, Limit and Retry-After beside such a line were believed, so that a request that must run once could be sent again. A trailer with such a line was dropped in silence.

Cause: net/http refuses control bytes in names but takes blanks, and keeps such a name as it stands, so that the field is an unknown one. Each reader took what net/http took: entries, agents, both clients of stores (a change counted as made, or as refused, on such an answer), ratings and the soak's caller.

Fix: validator.ReadResponse and validator.Transport are the one reader. An answer with a field whose name is no token is an error before anything in its head is used, and one in the trailer is an error in place of the body's end. Entries treat it as an attempt that broke: repeated where the route allows it, 502 without a promise otherwise. For a store's write the outcome is unknown.

golang.org/x/net, which net/http itself builds on, tells what a token is.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -17,6 +17,7 @@
 	"github.com/bramleyhinge/bramleyhinge/internal/dialer"
 	"github.com/bramleyhinge/bramleyhinge/internal/messenger"
 	"github.com/bramleyhinge/bramleyhinge/internal/splitter"
+	"github.com/bramleyhinge/bramleyhinge/internal/validator"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -51,7 +52,7 @@
 		// The transport writes a request beside reading its answer, which may have no length.
 		return dialer.ReportErrors(c), nil
 	}
-	b := &backend{cfg: cfg, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	b := &backend{cfg: cfg, http: &http.Client{Transport: validator.Transport{Base: t}, CheckRedirect: noRedirect}}
 	b.loadedVersions.Store(&[]model.VersionID{})
 	return b
 }
@@ -131,6 +132,9 @@
 
 // redactedCause describes a transport error without naming addresses.
 func redactedCause(err error) string {
+	if invalid, ok := errors.AsType[*validator.InvalidError](err); ok {
+		return invalid.Error()
+	}
 	switch {
 	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent), errors.Is(err, errPartialJSON), errors.Is(err, errAnswerTooLong):
 		return err.Error()
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/bramleyhinge/bramleyhinge/internal/validator"
 )
 
 const (
@@ -63,9 +65,10 @@
 	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 }
 
-// NewTransport returns an HTTP transport with up to maxIdle idle connections to a host. When a connection falls silent,
-// it closes the idle ones, which may have done so with it: a repeated call would find out one after the other.
-func NewTransport(timeout time.Duration, maxIdle int) *http.Transport {
+// NewTransport returns an HTTP transport with up to maxIdle idle connections to a host, which checks the answers. When a
+// connection falls silent, it closes the idle ones, which may have done so with it: a repeated call would find out one after
+// the other.
+func NewTransport(timeout time.Duration, maxIdle int) validator.Transport {
 	d := New(timeout)
 	t := &http.Transport{MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -75,7 +78,7 @@
 		}
 		return &watchedConn{Conn: c, onSilence: t.CloseIdleConnections}, nil
 	}
-	return t
+	return validator.Transport{Base: t}
 }
 
 // watchedConn is a connection that calls onSilence when the peer fell silent.
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -15,6 +15,7 @@
 
 	"github.com/bramleyhinge/bramleyhinge/internal/dialer"
 	"github.com/bramleyhinge/bramleyhinge/internal/peeker"
+	"github.com/bramleyhinge/bramleyhinge/internal/validator"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -104,7 +105,7 @@
 func (c *conn) readResponse(method string, part *heldPart) (*http.Response, error) {
 	c.limit.left, c.limit.unlimited = maxHeadBytes, false
 	c.limit.hold = func(n int) error { return part.resize(headCost*n, time.Now()) }
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	resp, err := validator.ReadResponse(c.r, &http.Request{Method: method})
 	c.limit.unlimited, c.limit.hold = true, nil
 	if cut := part.resize(0, time.Now()); cut != nil {
 		return nil, cut
--- a/internal/forwarder/harness_test.go
+++ b/internal/forwarder/harness_test.go
@@ -98,6 +98,13 @@
 	return b.replies[min(len(b.arrivals), len(b.replies))-1]
 }
 
+// script replaces the replies and forgets the requests that have arrived.
+func (b *backends) script(replies []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.replies, b.arrivals = replies, nil
+}
+
 func (b *backends) seen() []*http.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,10 +232,10 @@
 		fmt.Fprint(c, answer(req, "", "answer"))
 		_, _ = r.Peek(1)
 		reset(c)
-	case "bytes":
+	case "bytes", "lastbytes":
 		// The text after the word, with bars for the ends of lines.
 		fmt.Fprint(c, strings.NewReplacer("|", "\r\n", "{id}", id).Replace(rest))
-		return true
+		return word == "bytes"
 	case "unsealed":
 		fmt.Fprint(c, strings.Replace(answer(req, "", "answer"), "Seal: s\r\n", "", 1))
 		return true
--- a/internal/router/rating.go
+++ b/internal/router/rating.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/chooser"
+	"github.com/bramleyhinge/bramleyhinge/internal/validator"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -41,7 +42,7 @@
 }
 
 func newRaterClient(cfg raterConfig) *raterClient {
-	return &raterClient{cfg: cfg, http: &http.Client{Timeout: ratingTimeout}, queue: make(chan func(context.Context), ratingQueueSize)}
+	return &raterClient{cfg: cfg, http: &http.Client{Timeout: ratingTimeout, Transport: validator.Transport{Base: http.DefaultTransport}}, queue: make(chan func(context.Context), ratingQueueSize)}
 }
 
 var errNoRater = errors.New("no rating service is configured")
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/splitter"
+	"github.com/bramleyhinge/bramleyhinge/internal/validator"
 	"github.com/bramleyhinge/bramleyhinge/platform"
 	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
@@ -54,6 +55,8 @@
 	// unexpected event of a stream.
 	Complete   bool
 	EventError string
+	// Invalid is why HTTP does not allow the response.
+	Invalid string
 	// Err is why no complete response arrived; Closed reports that the connection ended without a reset.
 	Err    string
 	Closed bool
@@ -208,6 +211,9 @@
 		return false
 	}
 	closing, err := c.readAnswer(rec)
+	if invalid, ok := errors.AsType[*validator.InvalidError](err); ok {
+		rec.Invalid = invalid.Error()
+	}
 	if err != nil {
 		rec.Err, rec.Closed = err.Error(), errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 		return false
@@ -220,7 +226,7 @@
 
 // readAnswer reads the response and reports whether the entry closes the connection after it.
 func (c *caller) readAnswer(rec *record) (closing bool, err error) {
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
+	resp, err := validator.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return false, err
 	}
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -127,6 +128,8 @@
 // request, and that no part of the response belongs to another request.
 func (t tracedRequest) checkAnswer() error {
 	switch {
+	case t.Invalid != "":
+		return errors.New(t.Invalid)
 	case t.OtherID != "":
 		return fmt.Errorf("the response belongs to request %q", t.OtherID)
 	case t.EventError != "":
--- /dev/null
+++ b/internal/tester/answers.go
@@ -0,0 +1,44 @@
+package tester
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// ServeAnswer starts a server that sends the same text as the answer to each request and closes the connection then. It returns
+// the server's host and port.
+func ServeAnswer(t *testing.T, text string) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveAnswer(c, text)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveAnswer(c net.Conn, text string) {
+	defer c.Close()
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	// What is not read would reset the connection.
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	// A write error means that the client left.
+	_, _ = io.WriteString(c, text)
+}
