Refuse answers whose status is none of a final answer

Callers of the own deployment saw: an answer with status 000, 099, 101 or 600 of a backend server in trouble, or a closed connection where the entry wrote status 0. At direct entries such answers were refused but for 600 to 999, which were passed on, or believed when they said "not run", and for status 000 on a late answer to another request, which was skipped although nothing in it can be believed. Both clients of stores took every status below 300 for a success: a change without a decoded answer (DELETE) counted as made.

Cause: net/http takes every number of three digits as a status, and each reader compared it with the bounds that it cared about. Entries took the status and the order of frames from agents without a check.

Fix: the validator refuses statuses outside 200 to 599 (RFC 9110, section 15, has no other final ones; its transport still passes over interim answers). The verifier of frames asks it too, and wants the head as the first frame.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -227,8 +227,6 @@
 		return &failure{kind: failureBroken, cause: errEncoded}
 	case !rep.sealed && rep.StatusCode < http.StatusMultipleChoices:
 		return &failure{kind: failureBroken, cause: errUnsealed}
-	case rep.StatusCode < http.StatusOK:
-		return &failure{kind: failureBroken, cause: fmt.Errorf("status %d is not a final status", rep.StatusCode)}
 	}
 	return nil
 }
--- a/internal/messenger/frames_test.go
+++ b/internal/messenger/frames_test.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -61,6 +65,54 @@
 	})
 }
 
+// TestAnswerVerifierRefusesUnsoundHead guards against an answer of an agent without a head, or whose head has no status that may
+// be passed on.
+func TestAnswerVerifierRefusesUnsoundHead(t *testing.T) {
+	type Result struct {
+		Accepted int
+		Whole    bool
+	}
+	type framesCase struct {
+		Name   string
+		Frames []string
+		Result `yaml:",inline"`
+	}
+	for _, c := range tester.Load[framesCase](t, "frames.yaml") {
+		t.Run(c.Name, func(t *testing.T) {
+			digest := xxhash.New()
+			a := NewAnswerVerifier("own")
+			var got Result
+			for i, text := range c.Frames {
+				kind, status, _ := strings.Cut(text, " ")
+				f := Frame{Request: "own", Seq: i, Kind: FrameKind(kind)}
+				switch f.Kind {
+				case FrameHead:
+					var err error
+					if f.Status, err = strconv.Atoi(status); err != nil {
+						t.Fatal(err)
+					}
+				case FramePart:
+					f.Data = []byte("part")
+					digest.Write(f.Data)
+				case FrameEnd:
+					f.End = &End{Frames: i, Digest: digest.Sum64()}
+				}
+				accepted, err := a.Accept(f)
+				if err != nil {
+					break
+				}
+				if accepted {
+					got.Accepted++
+				}
+			}
+			got.Whole = a.Done()
+			if diff := cmp.Diff(c.Result, got); diff != "" {
+				t.Errorf("frames (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func FuzzFrames(f *testing.F) {
 	b, err := json.Marshal(answerFrames("own", 2)[0])
 	if err != nil {
--- a/internal/messenger/work.go
+++ b/internal/messenger/work.go
@@ -1,10 +1,12 @@
 package messenger
 
 import (
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/validator"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
@@ -112,6 +114,22 @@
 	Load   *model.Load `json:"load,omitempty"`
 }
 
+var errHeadPlace = errors.New("the head of the answer is not its first frame")
+
+// checkHead returns an error if the first frame is neither a refusal nor a head with the status of a final answer, or if a
+// later one is a head.
+func checkHead(f Frame) error {
+	switch {
+	case f.Kind == FrameRefuse:
+		return nil
+	case (f.Kind == FrameHead) != (f.Seq == 0):
+		return errHeadPlace
+	case f.Kind == FrameHead:
+		return validator.CheckStatus(f.Status)
+	}
+	return nil
+}
+
 // AnswerVerifier checks that the frames of an answer belong to its request, are in order and are
 // complete.
 type AnswerVerifier struct {
@@ -144,6 +162,9 @@
 	if f.Seq > a.next || a.done {
 		return false, model.Refuse(model.KindBrokenAnswer, "part %d of the answer is missing: send the request again", a.next).WithRun(model.RunUnknown)
 	}
+	if err := checkHead(f); err != nil {
+		return false, model.Refuse(model.KindBrokenAnswer, "%v: send the request again", err).WithRun(model.RunUnknown)
+	}
 	a.next++
 	if f.Kind != FrameEnd {
 		a.digest.Write(f.Data)
--- a/internal/validator/validator.go
+++ b/internal/validator/validator.go
@@ -62,6 +62,9 @@
 
 // check returns an error if the head of an answer is not allowed, and has reads of the body check the trailer.
 func check(resp *http.Response) error {
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
 	if err := checkNames("head", resp.Header); err != nil {
 		return err
 	}
@@ -71,6 +74,17 @@
 	return nil
 }
 
+// maxStatus is the highest status of an answer (RFC 9110, section 15).
+const maxStatus = 599
+
+// CheckStatus returns an *InvalidError if an answer with the status is not final: it is below 200, or no status.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return &InvalidError{Cause: fmt.Sprintf("its status is %03d", status)}
+	}
+	return nil
+}
+
 // checkNames returns an error if the name of a field is no token (RFC 9110, section 5.6.2). net/http takes names with blanks,
 // and takes such a field for an unknown one even if it has the length of the answer.
 func checkNames(part string, h http.Header) error {
