Refuse encoded answers of backend servers at agents

Callers of the own deployment saw: the bytes of an encoded body as the answer, without a word of its encoding, and could read none of it.

Cause: agents ask for no encoding and did not look whether the answer has one. The frames that carry it to the entry name its status and type only.

Fix: such an answer counts as one that broke off, as it does at direct entries. The refusal says that the request may have run.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -76,6 +76,9 @@
 	if b.cfg.Kind == model.KindModel && resp.StatusCode >= http.StatusInternalServerError {
 		return nil, firstByte, model.Refuse(model.KindBackendFailed, "the engine answered with status %d: send the request again", resp.StatusCode).WithRun(model.RunUnknown)
 	}
+	if resp.Header.Get("Content-Encoding") != "" {
+		return nil, firstByte, b.callRefusal(r, errEncoded)
+	}
 	head := messenger.Frame{Kind: messenger.FrameHead, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
 	if err := r.push(head); err != nil {
 		return nil, firstByte, b.callRefusal(r, err)
@@ -136,7 +139,8 @@
 		return invalid.Error()
 	}
 	switch {
-	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent), errors.Is(err, errPartialJSON), errors.Is(err, errAnswerTooLong):
+	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent), errors.Is(err, errPartialJSON), errors.Is(err, errAnswerTooLong),
+		errors.Is(err, errEncoded):
 		return err.Error()
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return "the connection closed in the middle of the answer"
@@ -150,6 +154,8 @@
 	errNoEvent   = errors.New("the stream contains text that is no event")
 	// errAnswerTooLong ends an answer that a backend server in trouble may never end.
 	errAnswerTooLong = fmt.Errorf("the answer is over %d bytes", maxAnswerBytes)
+	// errEncoded ends an answer that no caller could decode: a head frame does not name the encoding.
+	errEncoded = errors.New("the answer is encoded, which the request did not ask for")
 	// errPartialJSON means that an answer without a length ended early.
 	errPartialJSON = errors.New("the answer ended in the middle of its JSON")
 )
