Take an engine for healthy only if its probe succeeds

Callers of the own deployment saw: requests sent on to an engine in trouble, which failed there while others could have taken them.

Cause: an agent took any answer to its probe for healthy whose body is JSON, also one of status 500, and an error without versions for an engine without versions.

Fix: a probe wants status 200, as orders, ratings and calls for work do.

Evidence: the three rows of failures in probes.yaml fail before. The rows of status 000 and of a blank in a name failed before the validator, and hold since.

--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -69,6 +69,9 @@
 		return nil, fmt.Errorf("probe engine: %w", err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("probe engine: status %d", resp.StatusCode)
+	}
 	var v struct {
 		Versions []model.VersionID `json:"versions"`
 	}
