Refuse answers without a length whose server ended while the request was sent

Callers saw: a part of an early 200 without a length as the whole answer, where the server's process read what came and ended in the middle of a long upload. At agents the same.

Cause: the host of such a process closes the connection in order, since nothing waits to be read, and resets it only when more of the request arrives. The read finds a regular end. The write fails with EPIPE, which was taken for the reset of a peer that had closed its side before, and so for a whole answer. Resets without such an end were told since, and are.

Fix: dialer.EndError takes the end of an answer that ends with its connection as regular only with evidence of a peer that still takes the request: its host confirms more of it, holds bytes that the process has not read (a host whose process ends then sends a reset and no end), or has confirmed all of it. Answers with a length or in chunks name their own end and don't pass through this. The request counts as one that may have run: repeated where the route allows it, 502 without "not run" otherwise.

The rows of sound answers held before and hold: a server that has read all, an answer with a length, connections whose server closes its side and reads on, or closes the other side later. On kernels that don't tell the peer's window, answers of servers that only closed their side may be refused.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -97,7 +98,7 @@
 
 func (b *backend) post(r *run) (*http.Response, error) {
 	w := r.work
-	req, err := http.NewRequestWithContext(r.ctx, w.Method, b.cfg.URL+w.Path, bytes.NewReader(w.Body))
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(r.ctx, dialer.TraceRequest()), w.Method, b.cfg.URL+w.Path, bytes.NewReader(w.Body))
 	if err != nil {
 		return nil, fmt.Errorf("build backend request: %w", err)
 	}
@@ -140,7 +141,7 @@
 	}
 	switch {
 	case errors.Is(err, errTruncated), errors.Is(err, errNoEvent), errors.Is(err, errPartialJSON), errors.Is(err, errAnswerTooLong),
-		errors.Is(err, errEncoded):
+		errors.Is(err, errEncoded), errors.Is(err, dialer.ErrResetDuringRequest):
 		return err.Error()
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		return "the connection closed in the middle of the answer"
--- a/internal/agent/cut_test.go
+++ b/internal/agent/cut_test.go
@@ -108,31 +108,59 @@
 }
 
 // TestResetDuringWriteLooksWhole guards against an answer without a length that the end of its backend server cuts, and that an
-// agent takes for whole since the kernel reports the reset to the write of the request beside the read.
+// agent takes for whole: the kernel reports the reset to the write of the request beside the read, or the reset comes after a
+// regular end. It also guards against a refusal of answers that end in order beside an unfinished request.
 func TestResetDuringWriteLooksWhole(t *testing.T) {
-	l := tester.Listen(t)
-	go func() {
-		for {
-			conn, err := l.Accept()
+	closeWrite := func(c net.Conn) {
+		if tc, ok := c.(interface{ CloseWrite() error }); ok {
+			_ = tc.CloseWrite()
+		}
+	}
+	for _, tc := range []struct {
+		name string
+		// end is what the server does after it has written the answer.
+		end   func(c net.Conn, body io.Reader)
+		whole bool
+	}{
+		{"the server ends before it has read the request", func(net.Conn, io.Reader) { time.Sleep(5 * time.Millisecond) }, false},
+		{"the server reads what comes and ends", func(c net.Conn, _ io.Reader) { tester.ReadWaiting(c, 1<<20) }, false},
+		{"the server reads all and ends", func(_ net.Conn, body io.Reader) { _, _ = io.Copy(io.Discard, body) }, true},
+		{"the server closes its side and reads on", func(c net.Conn, _ io.Reader) { closeWrite(c); _, _ = io.Copy(io.Discard, c) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			if err != nil {
-				return
+				t.Fatal(err)
 			}
+			t.Cleanup(func() { l.Close() })
 			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 4<<10)); err == nil {
-					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of")
-					time.Sleep(5 * time.Millisecond)
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						if req, err := http.ReadRequest(bufio.NewReaderSize(conn, 4<<10)); err == nil {
+							fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of")
+							tc.end(conn, req.Body)
+						}
+					}()
 				}
 			}()
-		}
-	}()
-	b := newBackend(backendConfig{URL: "http://" + l.Addr().String(), Kind: model.KindPlain})
-	for range 50 {
-		r := newRun(t.Context(), messenger.Work{Request: "a", Budget: 5 * time.Second, Method: http.MethodPost, Path: "/a", Body: make([]byte, 8<<20)}, time.Now())
-		_, _, refusal := b.call(r)
-		r.cancel()
-		if refusal == nil || refusal.Run != model.RunUnknown {
-			t.Fatalf("an answer that was cut: refusal %v, want one that says that it may have run", refusal)
-		}
+			b := newBackend(backendConfig{URL: "http://" + l.Addr().String(), Kind: model.KindPlain})
+			for range 50 {
+				r := newRun(t.Context(), messenger.Work{Request: "a", Budget: 5 * time.Second, Method: http.MethodPost, Path: "/a", Body: make([]byte, 8<<20)}, time.Now())
+				_, _, refusal := b.call(r)
+				r.cancel()
+				switch {
+				case tc.whole && refusal != nil:
+					t.Fatalf("an answer that ended in order is refused: %v", refusal)
+				case !tc.whole && (refusal == nil || refusal.Run != model.RunUnknown):
+					t.Fatalf("an answer that was cut: refusal %v, want one that says that it may have run", refusal)
+				}
+			}
+		})
 	}
 }
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -304,7 +304,7 @@
 		}
 	}
 	now := time.Now()
-	if received == 0 && rep.isUnframed() {
+	if received == 0 && isUnframed(rep.Response) {
 		rep.closeConn()
 		return &failure{kind: failureBroken, cause: errUnframedEnd}
 	}
--- a/internal/forwarder/conn.go
+++ b/internal/forwarder/conn.go
@@ -69,6 +69,8 @@
 	extend func() bool
 	// sending is the write of the current request.
 	sending *sending
+	// endsAnswer is set while an answer is read that ends with the connection.
+	endsAnswer bool
 	// late is set once an answer to another request came: more may follow, and they need not name their request.
 	late bool
 	// idleSince is when the connection became idle, usableUntil is when reuse ends.
@@ -90,9 +92,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if errors.Is(err, io.EOF) && c.sending != nil {
-			if cause := dialer.HiddenError(c.Conn, c.sending.result); cause != nil {
-				return n, fmt.Errorf("the write took the error of the connection: %w", cause)
+		if errors.Is(err, io.EOF) && c.endsAnswer {
+			if cause := dialer.EndError(c.Conn, c.sending); cause != nil {
+				return n, fmt.Errorf("the connection did not end in order: %w", cause)
 			}
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extend == nil || !c.extend() {
@@ -103,10 +105,11 @@
 
 // readResponse reads the head of an answer to a request with the method, which part counts meanwhile.
 func (c *conn) readResponse(method string, part *heldPart) (*http.Response, error) {
-	c.limit.left, c.limit.unlimited = maxHeadBytes, false
+	c.limit.left, c.limit.unlimited, c.endsAnswer = maxHeadBytes, false, false
 	c.limit.hold = func(n int) error { return part.resize(headCost*n, time.Now()) }
 	resp, err := validator.ReadResponse(c.r, &http.Request{Method: method})
 	c.limit.unlimited, c.limit.hold = true, nil
+	c.endsAnswer = err == nil && isUnframed(resp)
 	if cut := part.resize(0, time.Now()); cut != nil {
 		return nil, cut
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -97,7 +97,7 @@
 		return nil, &failure{kind: failureUnreached, cause: errRetryBudgetSpent}
 	}
 	stop := context.AfterFunc(ctx, cn.close)
-	sending := newSending(c.body, headTimeout)
+	sending := newSending(cn.Conn, c.body, headTimeout)
 	cn.sending = sending
 	rep := &reply{conn: cn, peer: p, stop: stop, sending: sending, part: f.parts.newPart(cn.close)}
 	head := f.requestHead(c, p, now)
@@ -317,7 +317,7 @@
 		return
 	}
 	keep := keepAliveTime(r.Header)
-	if r.Close || keep <= 0 || r.conn.late || r.conn.r.Buffered() > 0 || r.isUnframed() {
+	if r.Close || keep <= 0 || r.conn.late || r.conn.r.Buffered() > 0 || isUnframed(r.Response) {
 		r.conn.close()
 		return
 	}
--- a/internal/forwarder/resets_test.go
+++ b/internal/forwarder/resets_test.go
@@ -12,12 +12,13 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/bramleyhinge/bramleyhinge/internal/tester"
 	"github.com/bramleyhinge/bramleyhinge/pkg/model"
 )
 
 // TestResetDuringWriteLooksWhole guards against an answer without a length that its server's end cuts in the middle and that
-// is taken for whole: the kernel reports the reset to the write of the request that waits beside the read. Which of the two gets
-// it is up to the kernel, so each case is played often.
+// is taken for whole: the kernel reports the reset to the write of the request that waits beside the read, or the reset comes
+// after a regular end. Which of them comes is up to the kernel, so each case is played often.
 func TestResetDuringWriteLooksWhole(t *testing.T) {
 	const bodyBytes, rounds = 4 << 20, 25
 	unsized := func(status, body string) func(net.Conn, *http.Request, <-chan struct{}) {
@@ -43,6 +44,26 @@
 			then(c)
 		}
 	}
+	// The server reads what comes and ends in the middle of the request: its host closes the connection in order, and resets it
+	// once more of the request arrives.
+	ended := func(status, body string) func(net.Conn, *http.Request, <-chan struct{}) {
+		return func(c net.Conn, req *http.Request, hasPart <-chan struct{}) {
+			unsized(status, body)(c, req, hasPart)
+			if len(body) > bufferedBodyBytes {
+				<-hasPart
+			}
+			tester.ReadWaiting(c, bodyBytes/4)
+		}
+	}
+	// The server ends so once it has read all.
+	readAll := func(c net.Conn, req *http.Request, _ <-chan struct{}) {
+		unsized("200 OK", "first")(c, req, nil)
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+	sized := func(c net.Conn, req *http.Request, _ <-chan struct{}) {
+		fmt.Fprint(c, answer(req, "", "first"))
+		_, _ = io.Copy(io.Discard, c)
+	}
 	events := func(from, to int) string {
 		var b strings.Builder
 		for i := from; i <= to; i++ {
@@ -74,6 +95,15 @@
 		{"a failure, may be repeated", "/safe/a", unsized("500 Error", "first"), second("second"), result{200, 2, "second", true}},
 		{"a stream that may be resumed", "/stream/a", begun(events(1, 4)), second(events(5, 6)), result{200, 2, events(1, 6), true}},
 		{"a stream that must run once", "/once/a", begun(events(1, 4)), nil, result{200, 1, events(1, 4), false}},
+		{"ended, must run once", "/never/a", ended("200 OK", "first"), nil, result{502, 1, "refusal", true}},
+		{"ended, may be repeated", "/safe/a", ended("200 OK", "first"), second("second"), result{200, 2, "second", true}},
+		{"ended, longer than is read ahead", "/never/a", ended("200 OK", strings.Repeat("x", 2*bufferedBodyBytes)), nil, result{200, 1, "long", false}},
+		{"ended, a failure", "/never/a", ended("500 Error", "first"), nil, result{502, 1, "refusal", true}},
+		{"ended, a stream that may be resumed", "/stream/a", ended("200 OK", events(1, 4)), second(events(5, 6)), result{200, 2, events(1, 6), true}},
+		{"ended, a stream that must run once", "/once/a", ended("200 OK", events(1, 4)), nil, result{200, 1, events(1, 4), false}},
+		{"the server ends when it has read all", "/never/a", readAll, nil, result{200, 1, "first", true}},
+		{"an early answer with a length", "/never/a", sized, nil, result{200, 1, "first", true}},
+		{"the server closes its side, and the other much later", "/never/a", halfClosed(func(net.Conn) { time.Sleep(50 * time.Millisecond) }), nil, result{200, 1, "first", true}},
 		{"the server closes its side and reads on", "/never/a", halfClosed(func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }), nil, result{200, 1, "first", true}},
 		{"the server closes its side, and then the other", "/never/a", halfClosed(func(net.Conn) { time.Sleep(time.Millisecond) }), nil, result{200, 1, "first", true}},
 	} {
--- a/internal/forwarder/sending.go
+++ b/internal/forwarder/sending.go
@@ -17,6 +17,8 @@
 type sending struct {
 	// long is set if the body may not fit into the receive window of the backend server.
 	long bool
+	// window is what the backend server's host takes while nothing waits to be read.
+	window int
 	// patience is how long the head of the answer may take after the last byte was read.
 	patience time.Duration
 	// endedAt is when all was written, in nanoseconds of the Unix time; 0 until then.
@@ -37,10 +39,16 @@
 	unread bool
 }
 
-func (s *sending) ended() bool { return s.endedAt.Load() != 0 }
+// Window implements dialer.RequestWrite.
+func (s *sending) Window() int { return s.window }
 
-func newSending(body []byte, patience time.Duration) *sending {
-	return &sending{long: len(body) > longBodyBytes, patience: patience, done: make(chan struct{})}
+// Ended implements dialer.RequestWrite.
+func (s *sending) Ended() bool { return s.endedAt.Load() != 0 }
+
+func newSending(c net.Conn, body []byte, patience time.Duration) *sending {
+	// An error means that the kernel does not tell the window.
+	t, _ := peeker.InspectTransfer(c)
+	return &sending{window: t.Window, long: len(body) > longBodyBytes, patience: patience, done: make(chan struct{})}
 }
 
 // send writes a request, which it does not copy.
@@ -55,14 +63,14 @@
 	s.endedAt.Store(time.Now().UnixNano())
 }
 
-// result waits for the end of the write and returns its error.
-func (s *sending) result() error {
+// Result implements dialer.RequestWrite.
+func (s *sending) Result() error {
 	<-s.done
 	return s.err
 }
 
 func (s *sending) state(c net.Conn) sendState {
-	return sendState{acked: peeker.Acknowledged(c), unread: !s.ended() || peeker.Unacknowledged(c) > 0}
+	return sendState{acked: peeker.Acknowledged(c), unread: !s.Ended() || peeker.Unacknowledged(c) > 0}
 }
 
 // waitUntil returns until when the head of the answer may be waited for because of the time that the backend server took
--- a/internal/forwarder/sending_test.go
+++ b/internal/forwarder/sending_test.go
@@ -119,7 +119,7 @@
 	} {
 		s := &sending{long: tc.long, patience: second}
 		for i, c := range tc.checks {
-			if c.Ended && !s.ended() {
+			if c.Ended && !s.Ended() {
 				s.endedAt.Store(start.Add(c.At).UnixNano())
 			}
 			got := time.Duration(none)
--- a/internal/forwarder/suspects.go
+++ b/internal/forwarder/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -165,8 +166,10 @@
 // backend server may have crashed.
 var errUnframedEnd = errors.New("the connection closed before the first event of the stream")
 
-// isUnframed reports whether the body of the answer ends with its connection.
-func (r *reply) isUnframed() bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+// isUnframed reports whether the body of an answer ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
 
 // refuseBanned returns the refusal of a request that has a banned trait, or nil.
 func (f *Forwarder) refuseBanned(c *call, now time.Time) *model.Refusal {
--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -118,21 +118,41 @@
 // has closed its side is in another one until both sides are closed.
 const tcpClose = 7
 
-// IsClosed reports whether an error has ended a TCP connection, both sides have closed it, or this process has. It is false
-// for connections of other kinds.
-func IsClosed(c net.Conn) bool {
+// Transfer is how far the bytes have come that were sent on a TCP connection.
+type Transfer struct {
+	// Closed is set if an error has ended the connection, or both sides have closed it.
+	Closed bool
+	// Acked is how many bytes the peer's host has confirmed. InFlight is how many were sent and are not confirmed, and Unsent how
+	// many wait in the socket; both stay as they were when an error ends the connection.
+	Acked            uint64
+	InFlight, Unsent int
+	// Window is how many bytes the peer's host last said that it takes beyond the confirmed ones, 0 also if the kernel does not
+	// tell. It falls while the peer's process does not read what came.
+	Window int
+}
+
+// InspectTransfer returns how far the bytes have come that were sent on a connection. It returns an error if that cannot be
+// known, net.ErrClosed if this process has closed the connection.
+func InspectTransfer(c net.Conn) (Transfer, error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return Transfer{}, errors.ErrUnsupported
 	}
 	rc, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return Transfer{}, err
 	}
-	closed := false
-	err = rc.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && info.State == tcpClose
+	var info *unix.TCPInfo
+	queued := 0
+	controlErr := rc.Control(func(fd uintptr) {
+		// Read first: what is confirmed meanwhile may then look as if it were in flight, but not the other way round.
+		if queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		}
 	})
-	return err != nil || closed
+	if err := errors.Join(controlErr, err); err != nil {
+		return Transfer{}, err
+	}
+	unsent := min(int(info.Notsent_bytes), queued)
+	return Transfer{Closed: info.State == tcpClose, Acked: info.Bytes_acked, InFlight: queued - unsent, Unsent: unsent, Window: int(info.Snd_wnd)}, nil
 }
--- a/internal/tester/answers.go
+++ b/internal/tester/answers.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 // ServeAnswer starts a server that sends the same text as the answer to each request and closes the connection then. It returns
@@ -42,3 +45,23 @@
 	// A write error means that the client left.
 	_, _ = io.WriteString(c, text)
 }
+
+// ReadWaiting reads what waits in a socket, until there is nothing more or most bytes were read. Unlike other reads it does not
+// wait.
+func ReadWaiting(c net.Conn, most int) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	b := make([]byte, 64<<10)
+	for n := 1; n > 0 && most > 0; most -= n {
+		err := rc.Control(func(fd uintptr) { n, _, _ = unix.Recvfrom(int(fd), b, unix.MSG_DONTWAIT) })
+		if err != nil {
+			return
+		}
+	}
+}
