Tell kept connections from new ones in the soak's backend servers

The entry had believed the first server's answer 429 "not run", which that server ran.

Cause: in the stand-in, not in the entry. A server that repeats refusals does so on connections that have carried a request, and knew them by the peer's address. A new connection that got the port of an earlier one counted as kept, so that the first answer on it was another request's refusal, without an id. On a new connection an entry must take that for the answer to its own request; on a kept one it refuses it, and does. No other path of the entry leads to the log lines of the trace: an id would have to be the request's own, and this server never refuses what it runs.

Fix: the connection's context tells whether it has carried a request. The repeats on kept connections are as many as before (TestRepeatedRefusals).

Evidence: TestNewConnFromKnownAddress failed before.

--- a/internal/soaker/oddities_test.go
+++ b/internal/soaker/oddities_test.go
@@ -67,7 +67,9 @@
 	t.Helper()
 	h := standin.NewHandler(standin.Server{ID: "i-1", Service: "models", Slots: 8}, func(standin.Arrival) {}, func(string) {})
 	h.SetFaults(f)
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnContext = standin.ConnContext
+	s.Start()
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
@@ -133,6 +135,31 @@
 	}
 }
 
+// TestNewConnFromKnownAddress guards against a backend server that takes a new connection for a kept one since it comes from the
+// address of an earlier connection. An entry takes an answer without an id on a new connection for that to its request.
+func TestNewConnFromKnownAddress(t *testing.T) {
+	const connections = 100
+	address := serveWith(t, standin.ServerFaults{RepeatRefusals: true})
+	var d net.Dialer
+	for i := range connections {
+		conn, err := d.Dial("tcp4", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.LocalAddr = conn.LocalAddr()
+		id := fmt.Sprint("request-", i)
+		send(t, conn, id, "")
+		if resp, _ := receive(t, bufio.NewReader(conn)); resp.Header.Get("X-Request-Id") != id {
+			t.Errorf("the first answer on a connection to the request %s names %q and has status %d", id, resp.Header.Get("X-Request-Id"), resp.StatusCode)
+		}
+		// A reset leaves the address free for the next connection.
+		if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+}
+
 // TestResumeErrors checks that no answer to a request that an entry resumes is good, and that each one to a request that a
 // caller resumes is.
 func TestResumeErrors(t *testing.T) {
--- a/internal/soaker/server.go
+++ b/internal/soaker/server.go
@@ -77,7 +77,7 @@
 	}
 	s.faults = nil
 	s.handler = standin.NewHandler(s.info, s.onArrival, func(part string) { s.onCrash(id, part) })
-	s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}
+	s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: standin.ConnContext}
 	go func(h *http.Server) {
 		// Serve returns when crash closes the backend server.
 		_ = h.Serve(l)
