--- a/internal/agent/cut_test.go
+++ b/internal/agent/cut_test.go
@@ -129,27 +129,13 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { l.Close() })
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer conn.Close()
-						if req, err := http.ReadRequest(bufio.NewReaderSize(conn, 4<<10)); err == nil {
-							fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of")
-							tc.end(conn, req.Body)
-						}
-					}()
+			address := tester.ServeConns(t, func(c net.Conn) {
+				if req, err := http.ReadRequest(bufio.NewReaderSize(c, 4<<10)); err == nil {
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of")
+					tc.end(c, req.Body)
 				}
-			}()
-			b := newBackend(backendConfig{URL: "http://" + l.Addr().String(), Kind: model.KindPlain})
+			})
+			b := newBackend(backendConfig{URL: "http://" + address, Kind: model.KindPlain})
 			for range 50 {
 				r := newRun(t.Context(), messenger.Work{Request: "a", Budget: 5 * time.Second, Method: http.MethodPost, Path: "/a", Body: make([]byte, 8<<20)}, time.Now())
 				_, _, refusal := b.call(r)
--- a/internal/tester/answers.go
+++ b/internal/tester/answers.go
@@ -11,9 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// ServeAnswer starts a server that sends the same text as the answer to each request and closes the connection then. It returns
-// the server's host and port.
-func ServeAnswer(t *testing.T, text string) string {
+// ServeConns starts a server that passes each connection to serve and closes it then. It returns the server's host and port.
+func ServeConns(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -26,14 +25,23 @@
 			if err != nil {
 				return
 			}
-			go serveAnswer(c, text)
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// ServeAnswer starts a server that sends the same text as the answer to each request and closes the connection then. It returns
+// the server's host and port.
+func ServeAnswer(t *testing.T, text string) string {
+	t.Helper()
+	return ServeConns(t, func(c net.Conn) { serveAnswer(c, text) })
+}
+
 func serveAnswer(c net.Conn, text string) {
-	defer c.Close()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
