--- a/internal/soaker/oddities_test.go
+++ b/internal/soaker/oddities_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -10,10 +11,12 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"github.com/bramleyhinge/bramleyhinge/platform/standin"
 )
@@ -140,13 +143,18 @@
 func TestNewConnFromKnownAddress(t *testing.T) {
 	const connections = 100
 	address := serveWith(t, standin.ServerFaults{RepeatRefusals: true})
-	var d net.Dialer
+	// The listener keeps the port from connections of others.
+	l, err := (&net.ListenConfig{Control: reusePort}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d := net.Dialer{LocalAddr: l.Addr(), Control: reusePort}
 	for i := range connections {
 		conn, err := d.Dial("tcp4", address)
 		if err != nil {
 			t.Fatal(err)
 		}
-		d.LocalAddr = conn.LocalAddr()
 		id := fmt.Sprint("request-", i)
 		send(t, conn, id, "")
 		if resp, _ := receive(t, bufio.NewReader(conn)); resp.Header.Get("X-Request-Id") != id {
@@ -160,6 +168,13 @@
 	}
 }
 
+// reusePort lets several sockets have the same port.
+func reusePort(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
+	return errors.Join(controlErr, err)
+}
+
 // TestResumeErrors checks that no answer to a request that an entry resumes is good, and that each one to a request that a
 // caller resumes is.
 func TestResumeErrors(t *testing.T) {
