Take the state of a connection after the end of the write, not before

EndError asked whether the write had ended after it had looked at the connection. A last part written between the two met a reset, which ended the write, and the older look showed a request that was all confirmed. InspectTransfer read the queue before the state; a part written and reset between the two was missing in the queue of a connection that had ended.

Fix: EndError asks for the write first, and InspectTransfer reads the queue once more if the connection has ended, which changes no more. A connection that this process closes before the end is judged is an error too, and no longer a regular end if all was written.

--- a/internal/dialer/reset.go
+++ b/internal/dialer/reset.go
@@ -41,26 +41,25 @@
 // The host of a process that has ended closes the connection in order if the process had read all that came, and resets it when
 // more of the request arrives. EndError waits for that while a part of the request is on its way.
 func EndError(c net.Conn, w RequestWrite) error {
-	first, err := peeker.InspectTransfer(c)
-	if errors.Is(err, net.ErrClosed) {
-		return w.Result()
-	}
-	if err != nil {
-		// The kernel does not tell.
-		return nil
-	}
-	start := time.Now()
-	for t := first; ; {
+	var first *peeker.Transfer
+	for start := time.Now(); ; time.Sleep(resetPoll) {
+		// Asked before the state, which then shows all that was written.
 		ended := w.Ended()
-		if t.Closed {
+		t, err := peeker.InspectTransfer(c)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return err
+		case err != nil:
+			// The kernel does not tell.
+			return nil
+		case t.Closed:
 			return closeError(t, w)
 		}
-		if isClosedInOrder(first, t, w.Window(), ended) || time.Since(start) > resetWait {
-			return nil
+		if first == nil {
+			first = &t
 		}
-		time.Sleep(resetPoll)
-		if t, err = peeker.InspectTransfer(c); err != nil {
-			return err
+		if isClosedInOrder(*first, t, w.Window(), ended) || time.Since(start) > resetWait {
+			return nil
 		}
 	}
 }
--- a/internal/dialer/reset_test.go
+++ b/internal/dialer/reset_test.go
@@ -1,7 +1,11 @@
 package dialer
 
 import (
+	"errors"
+	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/bramleyhinge/bramleyhinge/internal/peeker"
 	"github.com/bramleyhinge/bramleyhinge/internal/tester"
@@ -27,3 +31,40 @@
 		})
 	}
 }
+
+// TestResetBeforeWriteEnds guards against a state of the connection that is older than the end of the write: the last part of the
+// request, which the peer's host answers with a reset, is missing in it.
+func TestResetBeforeWriteEnds(t *testing.T) {
+	address := tester.ServeConns(t, func(net.Conn) {})
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Fatalf("read: %v, want the end", err)
+	}
+	if err := EndError(c, &lastWrite{conn: c}); !errors.Is(err, ErrResetDuringRequest) {
+		t.Errorf("the end of the connection: %v, want a reset during the request", err)
+	}
+}
+
+// lastWrite is a RequestWrite that writes the last part when it is asked whether it has ended.
+type lastWrite struct {
+	conn net.Conn
+	err  error
+}
+
+func (w *lastWrite) Window() int { return 0 }
+
+func (w *lastWrite) Ended() bool {
+	_, w.err = w.conn.Write([]byte("x"))
+	for {
+		if t, err := peeker.InspectTransfer(w.conn); err != nil || t.Closed {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (w *lastWrite) Result() error { return w.err }
--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -146,8 +146,12 @@
 	queued := 0
 	controlErr := rc.Control(func(fd uintptr) {
 		// Read first: what is confirmed meanwhile may then look as if it were in flight, but not the other way round.
-		if queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err != nil {
+			return
+		}
+		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.State == tcpClose {
+			// More may have been written before the connection ended. It stays as it is now.
+			queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 		}
 	})
 	if err := errors.Join(controlErr, err); err != nil {
