--- a/review/player-3/world.go
+++ b/review/player-3/world.go
@@ -19,8 +19,8 @@
 	// farZone is in another region, farLink the time one way to it.
 	farZone, farRegion = "bahirdar-lake", "bahirdar"
 	farLink            = 12 * time.Millisecond
-	host         = "desk.example"
-	tenant, key  = "hule930", "n2ctnfzs989anu6wsjnb"
+	host               = "desk.example"
+	tenant, key        = "hule930", "n2ctnfzs989anu6wsjnb"
 	// storeDelay is the response time of the store.
 	storeDelay = 4 * time.Millisecond
 )
